--- /dev/null
+++ b/packages/cli/bin/fireflytrack.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {main} from '../dist/index.js';
+
+await main(process.argv);
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export {main} from './lib/main.js';
--- /dev/null
+++ b/packages/configuration/src/lib/section-reader.ts
@@ -0,0 +1,70 @@
+/**
+ * Reads the keys of one INI section by schemas and rejects unknown keys.
+ *
+ * Failures are thrown inside a parse and turned into a `TextError` result at
+ * its boundary.
+ */
+import type {z} from 'zod';
+import type {IniSection} from './ini-document.js';
+import type {TextError} from './text-error.js';
+
+class SectionFailure extends Error {
+  constructor(readonly textError: TextError) {
+    super(textError.expected);
+  }
+}
+
+export class SectionReader {
+  static readonly Failure = SectionFailure;
+  private readonly known = new Set<string>();
+
+  private constructor(
+    private readonly file: string,
+    private readonly name: string,
+    private readonly section: IniSection,
+  ) {}
+
+  static create(
+    file: string,
+    name: string,
+    section: IniSection,
+  ): SectionReader {
+    return new SectionReader(file, name, section);
+  }
+
+  required<T>(key: string, schema: z.ZodType<T>, expected: string): T {
+    this.known.add(key);
+    const text = this.section.get(key);
+    if (text === undefined || text === '') {
+      return this.fail(key, `missing, expected ${expected}`);
+    }
+    const parsed = schema.safeParse(text);
+    if (parsed.success) return parsed.data;
+    return this.fail(key, `expected ${expected}, found "${text}"`);
+  }
+
+  optional<T, D>(
+    key: string,
+    schema: z.ZodType<T>,
+    expected: string,
+    fallback: D,
+  ): T | D {
+    if (this.section.has(key)) return this.required(key, schema, expected);
+    this.known.add(key);
+    return fallback;
+  }
+
+  /** Call after the last key: any other key in the section is an error. */
+  finish(): void {
+    for (const key of this.section.keys()) {
+      if (this.known.has(key)) continue;
+      const expected = [...this.known].join(', ');
+      this.fail(key, `unknown key, expected one of ${expected}`);
+    }
+  }
+
+  fail(key: string, expected: string): never {
+    const {file, name: section} = this;
+    throw new SectionFailure({file, section, key, expected});
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/test/configuration-text_test.ts
@@ -0,0 +1,85 @@
+/** Guards against accepting a malformed text or naming the wrong place. */
+import {expect} from 'earl';
+import {describe, it} from 'node:test';
+import {formatTextError, parseConfigurationText} from '../index.js';
+
+const VALID = `[fleet]
+schema_version = 1
+name = test
+max_instances = 4
+
+[service.stock]
+targets = 127.0.0.1:9000@zone-a, 127.0.0.1:9001@zone-b
+slots = 6
+connections = 360
+capacity_floor = 0.5
+
+[route.stock]
+service = stock
+path = /stock/*
+methods = GET, HEAD
+execution = idempotent
+teams = *
+
+[team.tills]
+rate_per_second = 100
+burst_tokens = 200
+`;
+
+function errorOf(text: string): string {
+  const parsed = parseConfigurationText(text, 'fleet.ini');
+  return parsed.err ? formatTextError(parsed.val) : 'valid';
+}
+
+describe('parseConfigurationText', () => {
+  it('reads services, routes and teams', () => {
+    const {services, routes, teams} = parseConfigurationText(
+      VALID,
+      'fleet.ini',
+    ).unwrap();
+    expect(services.get('stock')?.servers.length).toEqual(2);
+    expect(routes[0]?.teams).toEqual('*');
+    expect(teams.get('tills')?.burstTokens).toEqual(200);
+  });
+
+  const broken: [string, string, string][] = [
+    ['an unknown key', VALID.replace('slots', 'slotz'), 'slots'],
+    ['a duplicate section', `${VALID}\n[team.tills]\n`, '[team.tills]'],
+    [
+      'a duplicate key',
+      VALID.replace('slots = 6', 'slots = 6\nslots = 7'),
+      'slots',
+    ],
+    [
+      'a missing key',
+      VALID.replace('rate_per_second = 100\n', ''),
+      'rate_per_second',
+    ],
+    ['a wrong number', VALID.replace('= 360', '= many'), 'connections'],
+    [
+      'an unknown service',
+      VALID.replace('service = stock', 'service = x'),
+      'service',
+    ],
+    ['an unknown team', VALID.replace('teams = *', 'teams = x'), 'teams'],
+    [
+      'a host name as target',
+      VALID.replace('127.0.0.1:9000', 'host:9000'),
+      'targets',
+    ],
+    [
+      'another schema version',
+      VALID.replace('version = 1', 'version = 2'),
+      'schema_version',
+    ],
+    ['a line that is no pair', `${VALID}\nnonsense\n`, 'key = value'],
+  ];
+  for (const [name, text, place] of broken) {
+    it(`names the place of ${name} in one line`, () => {
+      const message = errorOf(text);
+      expect(message.startsWith('fleet.ini: section [')).toEqual(true);
+      expect(message.includes(place)).toEqual(true);
+      expect(message.includes('\n')).toEqual(false);
+    });
+  }
+});
--- /dev/null
+++ b/packages/daemon/src/lib/settings.ts
@@ -0,0 +1,73 @@
+/** Settings of one process, from an INI file. See docs/configuration.md. */
+import {parseIni} from '@fireflytrack/configuration';
+import type {IniDocument, TextError} from '@fireflytrack/configuration';
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import {z} from 'zod';
+
+const port = z.coerce.number().int().min(0).max(65535);
+
+const sections = {
+  instance: z.strictObject({
+    id: z.string().regex(/^[a-z0-9][a-z0-9-]*$/),
+    availability_zone: z.string().min(1),
+    region: z.string().min(1),
+  }),
+  entry: z.strictObject({host: z.ipv4().or(z.ipv6()), port}),
+  admin: z.strictObject({
+    host: z.ipv4().or(z.ipv6()),
+    port,
+    token: z.string().min(16),
+  }),
+  peer: z.strictObject({
+    host: z.ipv4().or(z.ipv6()),
+    port,
+    fleet_secret: z.string().min(16),
+  }),
+  platform: z.strictObject({
+    url: z.url({protocol: /^https?$/}),
+    timeout_ms: z.coerce.number().int().min(10).max(60_000).default(1000),
+    store_region: z.string().min(1),
+  }),
+  log: z
+    .strictObject({
+      level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+    })
+    .prefault({}),
+  metrics: z
+    .strictObject({
+      statsd_host: z.string().optional(),
+      statsd_port: port.default(8125),
+    })
+    .prefault({}),
+  stop: z
+    .strictObject({
+      balancer_wait_ms: z.coerce.number().int().min(0).default(3000),
+      finish_within_ms: z.coerce.number().int().min(0).default(30_000),
+    })
+    .prefault({}),
+};
+
+const settingsSchema = z.strictObject(sections);
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Checks a settings text; the first error is returned. */
+export function parseSettings(
+  text: string,
+  file: string,
+): Result<Settings, TextError> {
+  const document = parseIni(text, file);
+  if (document.err) return document;
+  const parsed = settingsSchema.safeParse(plainObject(document.val));
+  if (parsed.success) return Ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const [section = '', key = ''] = (issue?.path ?? []).map(String);
+  return Err({file, section, key, expected: issue?.message ?? 'invalid'});
+}
+
+function plainObject(document: IniDocument): Record<string, unknown> {
+  const entries = [...document].map(
+    ([name, section]) => [name, Object.fromEntries(section)] as const,
+  );
+  return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/packages/entry/src/lib/entry-gateway.ts
@@ -0,0 +1,76 @@
+/** The HTTP server towards callers, by moleculer-web. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {ServiceBroker} from 'moleculer';
+import ApiGateway from 'moleculer-web';
+import type {RequestPath} from './request-path.js';
+
+export interface EntryGatewayOptions {
+  host: string;
+  port: number;
+}
+
+// A caller that has not sent its whole head or request by then is cut off, so
+// that slow senders do not hold connections.
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+
+interface GatewayService {
+  server: Server;
+}
+
+export class EntryGateway {
+  private service: GatewayService | undefined;
+  private stopping = false;
+
+  private constructor(private readonly requestPath: RequestPath) {}
+
+  /** Registers the gateway with `broker`; it listens once the broker starts. */
+  static create(
+    broker: ServiceBroker,
+    requestPath: RequestPath,
+    options: EntryGatewayOptions,
+  ): EntryGateway {
+    const gateway = new EntryGateway(requestPath);
+    const service = broker.createService({
+      name: 'entry',
+      mixins: [ApiGateway],
+      settings: {
+        ip: options.host,
+        port: options.port,
+        logRequest: null,
+        logResponse: null,
+        routes: [
+          {
+            path: '/',
+            aliases: {
+              '/(.*)': (request: IncomingMessage, response: ServerResponse) =>
+                gateway.handle(request, response),
+            },
+            mappingPolicy: 'restrict',
+            mergeParams: false,
+            bodyParsers: false,
+          },
+        ],
+      },
+    });
+    gateway.service = service as unknown as GatewayService;
+    const {server} = gateway.service;
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    server.requestTimeout = REQUEST_TIMEOUT_MS;
+    return gateway;
+  }
+
+  /** From now on each answer closes its connection. */
+  beginStop(): void {
+    this.stopping = true;
+    this.service?.server.closeIdleConnections();
+  }
+
+  private handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.stopping) response.setHeader('connection', 'close');
+    return this.requestPath.handle(request, response);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/forwarder.ts
@@ -0,0 +1,113 @@
+/**
+ * One attempt of a request at one backend server, by undici.
+ *
+ * Connections are pooled by server, one request at a time on each, and nothing
+ * is sent again here. An attempt knows whether undici began to write it, which
+ * decides if a failed request certainly did not run.
+ */
+import type {BackendServer} from '@fireflytrack/configuration';
+import type {ServerResponse} from 'node:http';
+import {Pool} from 'undici';
+import {AttemptHandler} from './attempt-handler.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {RequestBody} from './request-body.js';
+
+export interface ForwardRequest {
+  requestId: string;
+  method: string;
+  /** Path and query. */
+  target: string;
+  headers: Record<string, string>;
+  body: RequestBody;
+  deadlineAtMs: number;
+  answerContentType: string | undefined;
+  /** Holds the whole answer; otherwise large answers are streamed. */
+  holdAnswer: boolean;
+}
+
+export interface Attempt {
+  result: Promise<AttemptResult>;
+  /** Gives the attempt up and closes its connection. */
+  cancel(): void;
+}
+
+const CONNECT_TIMEOUT_MS = 1000;
+// Shorter than the usual idle timeout of servers (5 s), so that a request is
+// rarely written to a connection that the server is closing.
+const KEEP_ALIVE_MS = 4000;
+
+export class Forwarder {
+  private readonly pools = new Map<string, Pool>();
+
+  private constructor() {}
+
+  static create(): Forwarder {
+    return new Forwarder();
+  }
+
+  /** Starts an attempt; a large answer goes to `response` as it arrives. */
+  attempt(
+    server: BackendServer,
+    connections: number,
+    request: ForwardRequest,
+    response: ServerResponse,
+  ): Attempt {
+    const handler = AttemptHandler.create(request, response);
+    const remainingMs = Math.max(1, request.deadlineAtMs - performance.now());
+    const headers: Record<string, string> = {
+      ...request.headers,
+      'x-request-id': request.requestId,
+      'x-deadline-ms': String(Math.ceil(remainingMs)),
+    };
+    const {body} = request;
+    this.poolOf(server, connections).dispatch(
+      {
+        method: request.method as 'GET',
+        path: request.target,
+        headers,
+        body:
+          body.kind === 'whole'
+            ? body.bytes
+            : body.kind === 'stream'
+              ? body.stream
+              : null,
+        idempotent: false,
+      },
+      handler,
+    );
+    return {result: handler.result, cancel: () => handler.cancel()};
+  }
+
+  /** Closes pools of servers that `keeps` does not name any more. */
+  retain(keeps: ReadonlySet<string>): void {
+    for (const [serverId, pool] of this.pools) {
+      if (keeps.has(serverId)) continue;
+      this.pools.delete(serverId);
+      void pool.close();
+    }
+  }
+
+  async close(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map(pool => pool.destroy()));
+  }
+
+  private poolOf(server: BackendServer, connections: number): Pool {
+    let pool = this.pools.get(server.serverId);
+    if (!pool) {
+      const host = server.host.includes(':') ? `[${server.host}]` : server.host;
+      pool = new Pool(`http://${host}:${server.port}`, {
+        connections,
+        pipelining: 1,
+        connect: {timeout: CONNECT_TIMEOUT_MS},
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        // Each attempt has its own deadline.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      this.pools.set(server.serverId, pool);
+    }
+    return pool;
+  }
+}
--- /dev/null
+++ b/packages/health/src/lib/server-selector.ts
@@ -0,0 +1,44 @@
+/** Choice of a backend server for one attempt of a request. */
+import type {Result} from '@fireflytrack/result';
+import type {BackendServer} from '@fireflytrack/configuration';
+
+export interface SelectOptions {
+  /** Ids of servers that this request tried already. */
+  excluded: ReadonlySet<string>;
+}
+
+export interface ServerOutcome {
+  /**
+   * `ok`: a whole answer that passed the checks. `caller-error`: a 4xx answer.
+   * `fault`: a 5xx answer, a timeout or a broken connection. `invalid`: an
+   * answer that failed the checks. `shed` and `draining`: the server said that
+   * nothing ran. `cancelled`: given up here, which tells nothing of the server.
+   */
+  kind:
+    | 'ok'
+    | 'caller-error'
+    | 'fault'
+    | 'invalid'
+    | 'shed'
+    | 'draining'
+    | 'cancelled';
+  latencyMs: number;
+}
+
+export interface Selection {
+  server: BackendServer;
+  /** Must be called exactly once, when the attempt ends. */
+  settle(outcome: ServerOutcome): void;
+}
+
+export interface NoServerError {
+  kind: 'no-server';
+  retryAfterMs: number;
+}
+
+export interface ServerSelector {
+  select(
+    serviceName: string,
+    options: SelectOptions,
+  ): Result<Selection, NoServerError>;
+}
--- /dev/null
+++ b/packages/once/src/index.ts
@@ -0,0 +1,8 @@
+export type {
+  DispatchOutcome,
+  OnceError,
+  OnceRegistry,
+  OnceRequest,
+  StoredAnswer,
+} from './lib/once-registry.js';
+export {TableOnceRegistry} from './lib/table-once-registry.js';
--- /dev/null
+++ b/packages/platform/src/lib/memory-object-store.ts
@@ -0,0 +1,36 @@
+/** An object store held in memory, with an outage on request. */
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import type {ObjectStore} from './object-store.js';
+import {platformError} from './platform-error.js';
+import type {PlatformError} from './platform-error.js';
+
+export class MemoryObjectStore implements ObjectStore {
+  /** Every call fails without effect while set. */
+  unavailable = false;
+  private readonly objects = new Map<string, Uint8Array>();
+
+  static create(): MemoryObjectStore {
+    return new MemoryObjectStore();
+  }
+
+  async get(
+    key: string,
+  ): Promise<Result<Uint8Array | undefined, PlatformError>> {
+    if (this.unavailable) return this.failure();
+    return Ok(this.objects.get(key));
+  }
+
+  async put(
+    key: string,
+    bytes: Uint8Array,
+  ): Promise<Result<void, PlatformError>> {
+    if (this.unavailable) return this.failure();
+    this.objects.set(key, Uint8Array.from(bytes));
+    return Ok(undefined);
+  }
+
+  private failure() {
+    return Err(platformError('unavailable', 'object store unavailable'));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/lib/object-store.ts
@@ -0,0 +1,8 @@
+/** The platform's object store. Objects are written once under unique names. */
+import type {Result} from '@fireflytrack/result';
+import type {PlatformError} from './platform-error.js';
+
+export interface ObjectStore {
+  get(key: string): Promise<Result<Uint8Array | undefined, PlatformError>>;
+  put(key: string, bytes: Uint8Array): Promise<Result<void, PlatformError>>;
+}
--- /dev/null
+++ b/packages/result/src/index.ts
@@ -0,0 +1,2 @@
+export {Ok, Err} from './lib/result.js';
+export type {Result} from './lib/result.js';
--- /dev/null
+++ b/packages/stand-ins/bin/platform.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {runPlatform} from '../dist/index.js';
+
+await runPlatform(process.argv);
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,13 @@
+export {PlatformServer} from './lib/platform-server.js';
+export type {PlatformServerOptions} from './lib/platform-server.js';
+export {BackendStandIn} from './lib/backend-stand-in.js';
+export type {BackendFault, BackendOptions} from './lib/backend-stand-in.js';
+export {runBackend, runPlatform} from './lib/process-mains.js';
+export {runDemo} from './lib/demo.js';
+export {LocalFleet} from './lib/local-fleet.js';
+export type {
+  FleetInstance,
+  FleetTarget,
+  LocalFleetOptions,
+} from './lib/local-fleet.js';
+export {ChildProcess} from './lib/child-process.js';
--- /dev/null
+++ b/packages/stand-ins/src/lib/backend-stand-in.ts
@@ -0,0 +1,214 @@
+/**
+ * A backend server stand-in over HTTP: slots, a connection cost, a cold start,
+ * draining, load shedding, lagging health and load endpoints, gray faults.
+ */
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {
+  closeServer,
+  listen,
+  portOf,
+  readBody,
+  sendJson,
+} from './http-server.js';
+
+/** `slow`: 10 times the service time. `wrong`: broken answers, one in three. */
+export type BackendFault = 'none' | 'slow' | 'wrong' | 'errors';
+
+export interface BackendOptions {
+  port: number;
+  slots: number;
+  serviceTimeMs: number;
+  /** Delay before the first answer on a new connection. */
+  connectionCostMs: number;
+  /** For this time after the start, answers take three times as long. */
+  coldStartMs: number;
+  /** Age of what the health and load endpoints show. */
+  reportLagMs: number;
+}
+
+const SLOW_FACTOR = 10;
+const COLD_FACTOR = 3;
+const WRONG_EVERY = 3;
+// A request that waits longer than this number of others is shed.
+const QUEUE_PER_SLOT = 8;
+
+interface Report {
+  state: 'up' | 'draining' | 'cold';
+  slotsInUse: number;
+}
+
+export class BackendStandIn {
+  fault: BackendFault = 'none';
+  draining = false;
+  /** Executions of non-idempotent requests by their idempotency key. */
+  readonly executions = new Map<string, number>();
+  /** Every header line and target that requests carried, for leak checks. */
+  readonly seen: string[] = [];
+  private server: Server | undefined;
+  private slotsInUse = 0;
+  private served = 0;
+  private startedAtMs = 0;
+  private readonly queue: (() => void)[] = [];
+  private report: Report = {state: 'up', slotsInUse: 0};
+  private reportTimer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: BackendOptions) {}
+
+  static create(options: BackendOptions): BackendStandIn {
+    return new BackendStandIn(options);
+  }
+
+  async start(): Promise<void> {
+    this.server = await listen(
+      (request, response) => this.handle(request, response),
+      this.options.port,
+    );
+    this.startedAtMs = performance.now();
+    this.reportTimer = setInterval(
+      () => this.updateReport(),
+      Math.max(1, this.options.reportLagMs),
+    );
+  }
+
+  port(): number {
+    return portOf(this.server!);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.reportTimer);
+    if (this.server) await closeServer(this.server);
+  }
+
+  private updateReport(): void {
+    const state = this.draining ? 'draining' : this.isCold() ? 'cold' : 'up';
+    this.report = {state, slotsInUse: this.slotsInUse};
+  }
+
+  private isCold(): boolean {
+    return performance.now() - this.startedAtMs < this.options.coldStartMs;
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.url === '/health') {
+      sendJson(response, 200, {state: this.report.state});
+      return;
+    }
+    if (request.url === '/control') {
+      await this.handleControl(request, response);
+      return;
+    }
+    if (request.url === '/load') {
+      const {slotsInUse} = this.report;
+      sendJson(response, 200, {slots: this.options.slots, slotsInUse});
+      return;
+    }
+    this.seen.push(`${request.url}\n${request.rawHeaders.join('\n')}`);
+    const body = await readBody(request);
+    if (this.draining) return this.decline(response, 'x-draining');
+    if (this.queue.length >= this.options.slots * QUEUE_PER_SLOT) {
+      return this.decline(response, 'x-shed');
+    }
+    await this.takeSlot();
+    try {
+      await this.serve(request, response, body);
+    } finally {
+      this.releaseSlot();
+    }
+  }
+
+  /** PUT sets faults; GET shows what the server ran and saw. */
+  private async handleControl(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.method === 'PUT') {
+      const text = (await readBody(request)).toString('utf8');
+      const control = controlSchema.parse(JSON.parse(text));
+      this.fault = control.fault ?? this.fault;
+      this.draining = control.draining ?? this.draining;
+    }
+    const executions = Object.fromEntries(this.executions);
+    sendJson(response, 200, {executions, seen: this.seen});
+  }
+
+  private decline(response: ServerResponse, header: string): void {
+    response.setHeader('x-not-run', '1');
+    response.setHeader(header, '1');
+    response.setHeader('retry-after', '1');
+    sendJson(response, 503, {error: 'not run'});
+  }
+
+  private async takeSlot(): Promise<void> {
+    if (this.slotsInUse >= this.options.slots) {
+      await new Promise<void>(resolve => this.queue.push(resolve));
+    }
+    this.slotsInUse += 1;
+  }
+
+  private releaseSlot(): void {
+    this.slotsInUse -= 1;
+    this.queue.shift()?.();
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): Promise<void> {
+    const key = request.headers['idempotency-key'];
+    if (typeof key === 'string') {
+      this.executions.set(key, (this.executions.get(key) ?? 0) + 1);
+    }
+    let durationMs = this.options.serviceTimeMs;
+    if (isNewConnection(request)) durationMs += this.options.connectionCostMs;
+    if (this.isCold()) durationMs *= COLD_FACTOR;
+    if (this.fault === 'slow') durationMs *= SLOW_FACTOR;
+    await new Promise(resolve => setTimeout(resolve, durationMs));
+    this.served += 1;
+    if (this.fault === 'errors') {
+      sendJson(response, 500, {error: 'internal'});
+      return;
+    }
+    this.answer(request, response, body);
+  }
+
+  private answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): void {
+    const requestId = String(request.headers['x-request-id'] ?? '');
+    const wrong = this.fault === 'wrong' && this.served % WRONG_EVERY === 0;
+    const text = JSON.stringify({
+      path: request.url,
+      team: request.headers['x-team'],
+      received: body.length,
+    });
+    const digest = createHash('sha256').update(text).digest('base64');
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      'content-digest': `sha-256=:${digest}:`,
+      'x-request-id': requestId,
+    });
+    response.end(wrong ? text.replace('path', 'htap') : text);
+  }
+}
+
+const controlSchema = z.object({
+  fault: z.enum(['none', 'slow', 'wrong', 'errors']).optional(),
+  draining: z.boolean().optional(),
+});
+
+const usedConnections = new WeakSet<object>();
+
+function isNewConnection(request: IncomingMessage): boolean {
+  if (usedConnections.has(request.socket)) return false;
+  usedConnections.add(request.socket);
+  return true;
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/demo.ts
@@ -0,0 +1,260 @@
+/**
+ * The demo: a whole fleet of real processes serves real requests, and every
+ * answer is checked against what the backend servers saw.
+ */
+import {randomUUID} from 'node:crypto';
+import sade from 'sade';
+import {request} from 'undici';
+import {LocalFleet} from './local-fleet.js';
+import type {FleetInstance, FleetTarget} from './local-fleet.js';
+
+interface DemoFlags {
+  kill?: boolean;
+  requests: string;
+}
+
+interface DemoReport {
+  sent: number;
+  ok: number;
+  refused: number;
+  wrong: number;
+  duplicates: number;
+  keyLeaks: number;
+}
+
+interface Observations {
+  executions: Record<string, number>;
+  seen: string[];
+}
+
+const ZONES = [
+  {availabilityZone: 'nord-1', region: 'nord'},
+  {availabilityZone: 'sahel-1', region: 'sahel'},
+  {availabilityZone: 'sud-1', region: 'sud'},
+];
+const TARGETS_PER_SERVICE = 4;
+const TEAM = 'mall-tunis';
+const CONCURRENCY = 16;
+// Every fifth request is a certification; all the others are lookups.
+const CERTIFICATION_EVERY = 5;
+const MAX_REPEATS = 5;
+const REPEAT_DELAY_MS = 100;
+
+export async function runDemo(argv: string[]): Promise<void> {
+  const program = sade('demo', true)
+    .option('--kill', 'End one entry instance in the middle of the run')
+    .option('--requests', 'Requests to send', '600')
+    .action(async (flags: DemoFlags) => {
+      const report = await demonstrate(Number(flags.requests), !!flags.kill);
+      const {wrong, duplicates, keyLeaks, refused} = report;
+      console.log(JSON.stringify(report));
+      const perfect = wrong + duplicates + keyLeaks + refused === 0;
+      process.exitCode = perfect ? 0 : 1;
+    });
+  await program.parse(argv);
+}
+
+async function demonstrate(
+  requests: number,
+  kill: boolean,
+): Promise<DemoReport> {
+  const fleet = await LocalFleet.create({zones: ZONES, storeRegion: 'nord'});
+  try {
+    for (let index = 0; index < 2 * TARGETS_PER_SERVICE; index += 1) {
+      await fleet.startTarget({slots: 4, serviceTimeMs: 3});
+    }
+    const file = fleet.writeConfiguration(configurationText(fleet.targets));
+    console.log(await applyWhenListening(fleet, file));
+    const key = await fleet.command('keys', 'issue', TEAM);
+    await fleet.waitReady();
+    await waitForKey(fleet, key);
+    return await sendAll(fleet, key, requests, kill);
+  } finally {
+    if (!(await fleet.stop())) process.exitCode = 1;
+  }
+}
+
+async function applyWhenListening(
+  fleet: LocalFleet,
+  file: string,
+): Promise<string> {
+  for (let attempt = 0; ; attempt += 1) {
+    try {
+      return await fleet.command('apply', file, '--base', '0');
+    } catch (error) {
+      if (attempt === MAX_REPEATS) throw error;
+      await sleep(500);
+    }
+  }
+}
+
+/** A new key is usable on an instance once that instance has heard of it. */
+async function waitForKey(fleet: LocalFleet, key: string): Promise<void> {
+  for (const instance of fleet.instances) {
+    for (let attempt = 0; attempt < 100; attempt += 1) {
+      const status = (await lookup(instance, key, 0)).status;
+      if (status !== 401) break;
+      await sleep(100);
+    }
+  }
+}
+
+async function sendAll(
+  fleet: LocalFleet,
+  key: string,
+  requests: number,
+  kill: boolean,
+): Promise<DemoReport> {
+  const report: DemoReport = {
+    sent: 0,
+    ok: 0,
+    refused: 0,
+    wrong: 0,
+    duplicates: 0,
+    keyLeaks: 0,
+  };
+  const caller = async () => {
+    while (report.sent < requests) {
+      report.sent += 1;
+      const index = report.sent;
+      if (kill && index === Math.floor(requests / 2)) {
+        fleet.instances[1]!.process.signal('SIGKILL');
+      }
+      report[await sendOne(fleet.instances, key, index)] += 1;
+    }
+  };
+  await Promise.all(Array.from({length: CONCURRENCY}, caller));
+  await inspectTargets(fleet.targets, key, report);
+  return report;
+}
+
+/** Sends one request and repeats it through other instances on failure. */
+async function sendOne(
+  instances: FleetInstance[],
+  key: string,
+  index: number,
+): Promise<'ok' | 'refused' | 'wrong'> {
+  const certification = index % CERTIFICATION_EVERY === 0;
+  const idempotencyKey = randomUUID();
+  for (let attempt = 0; attempt < MAX_REPEATS; attempt += 1) {
+    const instance = instances[(index + attempt) % instances.length]!;
+    try {
+      const answer = certification
+        ? await certify(instance, key, idempotencyKey)
+        : await lookup(instance, key, index);
+      if (answer.status === 200) {
+        const path = certification ? '/certify' : `/readings/${index}`;
+        return answer.path === path && answer.team === TEAM ? 'ok' : 'wrong';
+      }
+    } catch {
+      // The instance ended; the repeat goes to another one.
+    }
+    await sleep(REPEAT_DELAY_MS);
+  }
+  return 'refused';
+}
+
+interface DemoAnswer {
+  status: number;
+  path?: string;
+  team?: string;
+}
+
+async function lookup(
+  instance: FleetInstance,
+  key: string,
+  index: number,
+): Promise<DemoAnswer> {
+  const answer = await request(`${instance.entryUrl}/readings/${index}`, {
+    headers: {authorization: `Bearer ${key}`},
+  });
+  const body = (await answer.body.json()) as object;
+  return {status: answer.statusCode, ...body};
+}
+
+async function certify(
+  instance: FleetInstance,
+  key: string,
+  idempotencyKey: string,
+): Promise<DemoAnswer> {
+  const answer = await request(`${instance.entryUrl}/certify`, {
+    method: 'POST',
+    headers: {'x-api-key': key, 'idempotency-key': idempotencyKey},
+    body: JSON.stringify({report: idempotencyKey}),
+  });
+  const body = (await answer.body.json()) as object;
+  return {status: answer.statusCode, ...body};
+}
+
+async function inspectTargets(
+  targets: FleetTarget[],
+  key: string,
+  report: DemoReport,
+): Promise<void> {
+  const executions = new Map<string, number>();
+  const secret = key.slice(key.lastIndexOf('_') + 1);
+  for (const target of targets) {
+    const url = `http://127.0.0.1:${target.port}/control`;
+    const answer = await request(url);
+    const seen = (await answer.body.json()) as Observations;
+    report.keyLeaks += seen.seen.filter(line => line.includes(secret)).length;
+    for (const [id, count] of Object.entries(seen.executions)) {
+      executions.set(id, (executions.get(id) ?? 0) + count);
+    }
+  }
+  for (const count of executions.values()) report.duplicates += count - 1;
+}
+
+function configurationText(targets: FleetTarget[]): string {
+  const list = (from: number) =>
+    targets
+      .slice(from, from + TARGETS_PER_SERVICE)
+      .map((target, index) => `127.0.0.1:${target.port}@${zoneOf(index)}`)
+      .join(', ');
+  return `[fleet]
+schema_version = 1
+name = demo
+max_instances = 8
+
+[service.counting]
+targets = ${list(0)}
+slots = 4
+connections = 360
+capacity_floor = 0.5
+
+[service.certification]
+targets = ${list(TARGETS_PER_SERVICE)}
+depends_on = counting
+slots = 4
+connections = 360
+capacity_floor = 0.5
+
+[route.readings]
+service = counting
+path = /readings/*
+methods = GET
+execution = idempotent
+teams = *
+deadline_ms = 2000
+
+[route.certify]
+service = certification
+path = /certify
+methods = POST
+execution = once
+teams = ${TEAM}
+deadline_ms = 3000
+
+[team.${TEAM}]
+rate_per_second = 5000
+burst_tokens = 5000
+`;
+}
+
+function zoneOf(index: number): string {
+  return ZONES[index % ZONES.length]!.availabilityZone;
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/local-fleet.ts
@@ -0,0 +1,236 @@
+/**
+ * A whole fleet of real processes on loopback: platform stand-in, entry
+ * instances and backend server stand-ins. Used by the demo and by the tests
+ * that need real processes; the daemon itself starts no process.
+ */
+import {execFile} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+import {request} from 'undici';
+import {ChildProcess} from './child-process.js';
+
+export interface LocalFleetOptions {
+  /** Zone and region of each entry instance. */
+  zones: {availabilityZone: string; region: string}[];
+  storeRegion: string;
+  logLevel?: string;
+  balancerWaitMs?: number;
+}
+
+export interface FleetInstance {
+  instanceId: string;
+  process: ChildProcess;
+  entryUrl: string;
+  adminUrl: string;
+}
+
+export interface FleetTarget {
+  process: ChildProcess;
+  port: number;
+}
+
+export interface TargetOptions {
+  slots: number;
+  serviceTimeMs: number;
+}
+
+const ADMIN_TOKEN = 'administration-token-of-the-demo';
+const FLEET_SECRET = 'fleet-secret-of-the-demo';
+const READY_TIMEOUT_MS = 15_000;
+const READY_CHECK_MS = 50;
+
+const run = promisify(execFile);
+const packagesPath = fileURLToPath(new URL('../../../', import.meta.url));
+const script = (path: string) => join(packagesPath, path);
+
+export class LocalFleet {
+  readonly instances: FleetInstance[] = [];
+  readonly targets: FleetTarget[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'fireflytrack-'));
+  private started = 0;
+
+  private constructor(
+    private readonly options: LocalFleetOptions,
+    readonly platform: ChildProcess,
+    readonly platformUrl: string,
+  ) {}
+
+  /** Starts the platform and the entry instances. */
+  static async create(options: LocalFleetOptions): Promise<LocalFleet> {
+    const platform = ChildProcess.start(
+      script('stand-ins/bin/platform.js'),
+      [],
+    );
+    const {port} = await platform.firstLine<{port: number}>();
+    const url = `http://127.0.0.1:${port}`;
+    const fleet = new LocalFleet(options, platform, url);
+    for (const zone of options.zones) await fleet.startInstance(zone);
+    return fleet;
+  }
+
+  async startInstance(zone: {
+    availabilityZone: string;
+    region: string;
+  }): Promise<FleetInstance> {
+    this.started += 1;
+    const instanceId = `${zone.availabilityZone}-i${this.started}`;
+    const [entryPort, adminPort, peerPort] = await freePorts(3);
+    const file = join(this.folder, `${instanceId}.ini`);
+    writeFileSync(
+      file,
+      settingsText(instanceId, zone, this.platformUrl, this.options, {
+        entryPort: entryPort!,
+        adminPort: adminPort!,
+        peerPort: peerPort!,
+      }),
+    );
+    await request(`${this.platformUrl}/v1/instances`, {
+      method: 'POST',
+      body: JSON.stringify({
+        instanceId,
+        host: '127.0.0.1',
+        entryPort,
+        adminPort,
+        peerPort,
+        ...zone,
+        state: 'live',
+      }),
+    });
+    const instance: FleetInstance = {
+      instanceId,
+      process: ChildProcess.start(script('daemon/bin/fireflytrackd.js'), [
+        file,
+      ]),
+      entryUrl: `http://127.0.0.1:${entryPort}`,
+      adminUrl: `http://127.0.0.1:${adminPort}`,
+    };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  async startTarget(options: TargetOptions): Promise<FleetTarget> {
+    const target = ChildProcess.start(script('stand-ins/bin/backend.js'), [
+      '--slots',
+      String(options.slots),
+      '--service-time-ms',
+      String(options.serviceTimeMs),
+    ]);
+    const {port} = await target.firstLine<{port: number}>();
+    const started = {process: target, port};
+    this.targets.push(started);
+    return started;
+  }
+
+  /** Runs the operators' command line against the first running instance. */
+  async command(...args: string[]): Promise<string> {
+    const admin = [
+      '--url',
+      this.instances[0]!.adminUrl,
+      '--token',
+      ADMIN_TOKEN,
+    ];
+    const binary = script('cli/bin/fireflytrack.js');
+    const {stdout} = await run(process.execPath, [binary, ...args, ...admin]);
+    return stdout.trim();
+  }
+
+  /** Writes a configuration text to a file for the command line. */
+  writeConfiguration(text: string): string {
+    const file = join(this.folder, 'fleet.ini');
+    writeFileSync(file, text);
+    return file;
+  }
+
+  /** Waits until every instance says that it is ready. */
+  async waitReady(): Promise<void> {
+    const boundAtMs = performance.now() + READY_TIMEOUT_MS;
+    for (const instance of this.instances) {
+      while (!(await isReady(instance))) {
+        if (performance.now() > boundAtMs) {
+          const last = instance.process.errorLines.slice(-3).join('\n');
+          throw new Error(`${instance.instanceId} is not ready: ${last}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, READY_CHECK_MS));
+      }
+    }
+  }
+
+  /** Stops every process; true if each ended as it should. */
+  async stop(): Promise<boolean> {
+    const running = this.instances.map(instance => instance.process);
+    const codes = await Promise.all(running.map(child => child.stop()));
+    const others = [
+      ...this.targets.map(target => target.process),
+      this.platform,
+    ];
+    await Promise.all(others.map(child => child.stop()));
+    rmSync(this.folder, {recursive: true});
+    return codes.every(code => code === 0 || code === null);
+  }
+}
+
+async function isReady(instance: FleetInstance): Promise<boolean> {
+  try {
+    const answer = await request(`${instance.adminUrl}/ready`);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    ports.push((server.address() as AddressInfo).port);
+  }
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.close(() => resolve()));
+  }
+  return ports;
+}
+
+function settingsText(
+  instanceId: string,
+  zone: {availabilityZone: string; region: string},
+  platformUrl: string,
+  options: LocalFleetOptions,
+  ports: {entryPort: number; adminPort: number; peerPort: number},
+): string {
+  return `[instance]
+id = ${instanceId}
+availability_zone = ${zone.availabilityZone}
+region = ${zone.region}
+
+[entry]
+host = 127.0.0.1
+port = ${ports.entryPort}
+
+[admin]
+host = 127.0.0.1
+port = ${ports.adminPort}
+token = ${ADMIN_TOKEN}
+
+[peer]
+host = 127.0.0.1
+port = ${ports.peerPort}
+fleet_secret = ${FLEET_SECRET}
+
+[platform]
+url = ${platformUrl}
+store_region = ${options.storeRegion}
+
+[log]
+level = ${options.logLevel ?? 'warn'}
+
+[stop]
+balancer_wait_ms = ${options.balancerWaitMs ?? 200}
+`;
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/platform-server.ts
@@ -0,0 +1,171 @@
+/** The platform stand-in: table, object store and instance list over HTTP. */
+import {
+  MemoryInstanceList,
+  MemoryObjectStore,
+  MemoryTable,
+  listedInstanceSchema,
+  tableOperationSchema,
+} from '@fireflytrack/platform';
+import type {PlatformError} from '@fireflytrack/platform';
+import type {Result} from '@fireflytrack/result';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {
+  closeServer,
+  listen,
+  portOf,
+  readBody,
+  sendJson,
+} from './http-server.js';
+
+export interface PlatformServerOptions {
+  port: number;
+}
+
+const batchSchema = z.object({
+  operations: z.array(tableOperationSchema),
+  atomic: z.boolean(),
+});
+
+const controlSchema = z.object({
+  unavailable: z.boolean().optional(),
+  lostAnswers: z.number().int().nonnegative().optional(),
+  delayMs: z.number().nonnegative().optional(),
+  /** Instances to take off the list. */
+  ended: z.array(z.string()).optional(),
+});
+
+export class PlatformServer {
+  readonly table = MemoryTable.create();
+  readonly objects = MemoryObjectStore.create();
+  readonly instances = MemoryInstanceList.create();
+  private server: Server | undefined;
+
+  private constructor(private readonly options: PlatformServerOptions) {}
+
+  static create(options: PlatformServerOptions): PlatformServer {
+    return new PlatformServer(options);
+  }
+
+  async start(): Promise<void> {
+    this.server = await listen(
+      (request, response) => this.handle(request, response),
+      this.options.port,
+    );
+  }
+
+  port(): number {
+    return portOf(this.server!);
+  }
+
+  async stop(): Promise<void> {
+    if (this.server) await closeServer(this.server);
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    const {pathname} = url;
+    if (pathname.startsWith('/v1/table/rows/')) {
+      const row = await this.table.get(lastSegment(pathname));
+      this.reply(response, row, found => found ?? undefined);
+    } else if (pathname === '/v1/table/rows') {
+      const prefix = url.searchParams.get('prefix') ?? '';
+      const limit = Number(url.searchParams.get('limit') ?? 1000);
+      const rows = await this.table.scan(prefix, limit);
+      this.reply(response, rows, found => ({rows: found}));
+    } else if (pathname === '/v1/table/batch') {
+      await this.handleBatch(request, response);
+    } else if (pathname.startsWith('/v1/objects/')) {
+      await this.handleObject(request, response, lastSegment(pathname));
+    } else if (pathname === '/control') {
+      await this.handleControl(request, response);
+    } else if (pathname === '/v1/instances') {
+      await this.handleInstances(request, response);
+    } else {
+      sendJson(response, 404, {error: 'unknown path'});
+    }
+  }
+
+  private async handleBatch(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readBody(request)).toString('utf8');
+    const {operations, atomic} = batchSchema.parse(JSON.parse(body));
+    const results = await this.table.batch(operations, {atomic});
+    this.reply(response, results, found => ({results: found}));
+  }
+
+  private async handleObject(
+    request: IncomingMessage,
+    response: ServerResponse,
+    key: string,
+  ): Promise<void> {
+    if (request.method === 'PUT') {
+      const stored = await this.objects.put(key, await readBody(request));
+      this.reply(response, stored, () => ({}));
+      return;
+    }
+    const bytes = await this.objects.get(key);
+    if (bytes.err || bytes.val === undefined) {
+      this.reply(response, bytes, () => undefined);
+      return;
+    }
+    response.writeHead(200, {'content-length': bytes.val.length});
+    response.end(bytes.val);
+  }
+
+  /** Sets faults: outage, delay, answers that are lost after the effect. */
+  private async handleControl(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const text = (await readBody(request)).toString('utf8');
+    const control = controlSchema.parse(JSON.parse(text));
+    this.table.unavailable = control.unavailable ?? this.table.unavailable;
+    this.objects.unavailable = control.unavailable ?? this.objects.unavailable;
+    this.table.lostAnswers = control.lostAnswers ?? this.table.lostAnswers;
+    this.table.delayMs = control.delayMs ?? this.table.delayMs;
+    for (const instanceId of control.ended ?? []) {
+      this.instances.remove(instanceId);
+    }
+    sendJson(response, 200, {});
+  }
+
+  private async handleInstances(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.method === 'POST') {
+      const body = (await readBody(request)).toString('utf8');
+      this.instances.set(listedInstanceSchema.parse(JSON.parse(body)));
+      sendJson(response, 200, {});
+      return;
+    }
+    const instances = await this.instances.list();
+    this.reply(response, instances, found => ({instances: found}));
+  }
+
+  /** An undefined body is a 404; a lost answer breaks the connection. */
+  private reply<T>(
+    response: ServerResponse,
+    result: Result<T, PlatformError>,
+    body: (value: T) => unknown,
+  ): void {
+    if (result.err) {
+      if (result.val.kind === 'outcome-unknown') response.destroy();
+      else sendJson(response, 503, {error: result.val.message});
+      return;
+    }
+    const value = body(result.val);
+    if (value === undefined) sendJson(response, 404, {error: 'not found'});
+    else sendJson(response, 200, value);
+  }
+}
+
+function lastSegment(pathname: string): string {
+  return decodeURIComponent(pathname.slice(pathname.lastIndexOf('/') + 1));
+}
