--- /dev/null
+++ b/packages/membership/src/lib/fixed-membership.ts
@@ -0,0 +1,37 @@
+/** A membership that tests set by hand. */
+import type {PeerIdentity} from '@fireflytrack/wire';
+import type {Member, Membership} from './membership.js';
+
+export class FixedMembership implements Membership {
+  /** The test changes these at will. */
+  readonly members = new Map<string, Member>();
+  readonly gone = new Set<string>();
+
+  private constructor(readonly self: PeerIdentity) {}
+
+  static create(
+    self: PeerIdentity,
+    others: readonly PeerIdentity[],
+  ): FixedMembership {
+    const membership = new FixedMembership(self);
+    for (const identity of others) {
+      if (identity.instanceId === self.instanceId) continue;
+      const member = {identity, listed: true, reachable: true, leaving: false};
+      membership.members.set(identity.instanceId, member);
+    }
+    return membership;
+  }
+
+  others(): readonly Member[] {
+    return [...this.members.values()];
+  }
+
+  liveIds(): readonly string[] {
+    const live = this.others().filter(one => one.reachable && !one.leaving);
+    return [this.self.instanceId, ...live.map(one => one.identity.instanceId)];
+  }
+
+  isGone(instanceId: string): boolean {
+    return this.gone.has(instanceId);
+  }
+}
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export {History} from './lib/history.js';
+export type {HistoryEvent, HistoryOperation} from './lib/history.js';
+export {ciSeeds, runSeeds} from './lib/seeds.js';
+export type {SeededRun} from './lib/seeds.js';
