Complete the request path: hedges, checked targets, key scan, tests

Cause: the thin path retried without a budget, forwarded dot segments, let a hang-up of the caller end non-idempotent work and did not look for the key in streamed bodies.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -7,7 +7,10 @@
   AdminApi,
   EntryGateway,
   Forwarder,
+  OpenGate,
   RequestPath,
+  UnboundedQueue,
+  UnlimitedRetries,
 } from '@fireflytrack/entry';
 import {RandomSelector} from '@fireflytrack/health';
 import {StaticShareLimiter} from '@fireflytrack/limits';
@@ -63,6 +66,9 @@
       keys: this.configuration,
       limiter: StaticShareLimiter.create(this.configuration, 1),
       selector: RandomSelector.create(this.configuration),
+      queue: UnboundedQueue.create(),
+      retries: UnlimitedRetries.create(),
+      gate: OpenGate.create(),
       once: TableOnceRegistry.create(table),
       forwarder: this.forwarder,
       logger: this.logger,
@@ -109,7 +115,10 @@
     this.gateway.beginStop();
     await sleep(balancer_wait_ms);
     const boundAtMs = performance.now() + finish_within_ms;
-    while (this.requestPath.inFlight > 0 && performance.now() < boundAtMs) {
+    while (
+      this.requestPath.requestsInFlight > 0 &&
+      performance.now() < boundAtMs
+    ) {
       await sleep(FLIGHT_CHECK_MS);
     }
     this.configuration.stop();
@@ -125,7 +134,9 @@
   }
 
   private registerDump(): void {
-    this.dump.register('entry', () => ({inFlight: this.requestPath.inFlight}));
+    this.dump.register('entry', () => ({
+      inFlight: this.requestPath.requestsInFlight,
+    }));
     this.dump.register('configuration', () => ({
       version: this.configuration.current()?.version ?? 0,
     }));
--- a/packages/entry/src/lib/attempt-handler.ts
+++ b/packages/entry/src/lib/attempt-handler.ts
@@ -8,6 +8,8 @@
 import type {ExpectedAnswer} from './answer-checks.js';
 import {callerHeaders} from './answer-headers.js';
 import type {AttemptResult} from './attempt-result.js';
+import {CallerBodyError} from './key-scanner.js';
+import type {ResponseOwner} from './response-owner.js';
 
 export interface AttemptOptions extends ExpectedAnswer {
   deadlineAtMs: number;
@@ -38,6 +40,7 @@
   private constructor(
     private readonly options: AttemptOptions,
     private readonly response: ServerResponse,
+    private readonly owner: ResponseOwner,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -52,8 +55,9 @@
   static create(
     options: AttemptOptions,
     response: ServerResponse,
+    owner: ResponseOwner,
   ): AttemptHandler {
-    return new AttemptHandler(options, response);
+    return new AttemptHandler(options, response, owner);
   }
 
   cancel(): void {
@@ -135,11 +139,19 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
+    if (error instanceof CallerBodyError) {
+      this.fail('caller', error.message);
+      return;
+    }
     const cause = this.started ? 'connection' : 'connect';
     this.fail(cause, error.message);
   }
 
   private startStreaming(controller: Dispatcher.DispatchController): void {
+    if (!this.owner.claim(this)) {
+      this.fail('cancelled', 'another attempt answers');
+      return;
+    }
     this.streaming = true;
     this.response.writeHead(this.status, callerHeaders(this.headers));
     // A caller that hangs up cancels the work at the backend server.
@@ -164,7 +176,7 @@
       // Without the terminating chunk or the announced length, the caller
       // cannot take the truncated answer for a whole one.
       this.response.destroy();
-      this.settle({kind: 'broken', reason});
+      this.settle({kind: 'broken', reason, byCaller: cause === 'cancelled'});
     } else {
       const mayHaveRun = this.started;
       this.settle({kind: 'failed', mayHaveRun, cause, reason});
--- a/packages/entry/src/lib/attempt-result.ts
+++ b/packages/entry/src/lib/attempt-result.ts
@@ -7,13 +7,20 @@
   /** A whole answer that went to the caller as it arrived. */
   | {kind: 'streamed'; status: number}
   /** The caller's connection was broken after a part of the answer. */
-  | {kind: 'broken'; reason: string}
+  | {kind: 'broken'; reason: string; byCaller: boolean}
   /** The server stated that it did not run the request. */
   | {kind: 'declined'; draining: boolean; retryAfterMs: number | undefined}
   | {
       kind: 'failed';
       /** False: certain that the server got no byte of it. */
       mayHaveRun: boolean;
-      cause: 'connect' | 'connection' | 'deadline' | 'invalid' | 'cancelled';
+      cause:
+        | 'connect'
+        | 'connection'
+        | 'deadline'
+        | 'invalid'
+        | 'cancelled'
+        /** The caller's own body made it fail. */
+        | 'caller';
       reason: string;
     };
--- a/packages/entry/src/lib/forwarder.ts
+++ b/packages/entry/src/lib/forwarder.ts
@@ -11,6 +11,7 @@
 import {AttemptHandler} from './attempt-handler.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {RequestBody} from './request-body.js';
+import type {ResponseOwner} from './response-owner.js';
 
 export interface ForwardRequest {
   requestId: string;
@@ -51,8 +52,9 @@
     connections: number,
     request: ForwardRequest,
     response: ServerResponse,
+    owner: ResponseOwner,
   ): Attempt {
-    const handler = AttemptHandler.create(request, response);
+    const handler = AttemptHandler.create(request, response, owner);
     const remainingMs = Math.max(1, request.deadlineAtMs - performance.now());
     const headers: Record<string, string> = {
       ...request.headers,
--- a/packages/entry/src/lib/request-path.ts
+++ b/packages/entry/src/lib/request-path.ts
@@ -1,90 +1,88 @@
 /**
  * The way of one request, from the caller's socket to the answer:
- * route, key, team, rate, claim, server, attempt, answer.
+ * route, key, team, rate, body, claim, queue, server, attempt, answer.
  */
 import type {
   ConfigurationSource,
-  KeyHolder,
   KeyStore,
-  Route,
+  Service,
 } from '@fireflytrack/configuration';
-import type {
-  Selection,
-  ServerOutcome,
-  ServerSelector,
-} from '@fireflytrack/health';
+import type {ServerSelector} from '@fireflytrack/health';
 import type {TeamLimiter} from '@fireflytrack/limits';
-import type {
-  DispatchOutcome,
-  OnceError,
-  OnceRegistry,
-  StoredAnswer,
-} from '@fireflytrack/once';
+import type {DispatchOutcome, OnceRegistry} from '@fireflytrack/once';
 import type {Logger, Metrics} from '@fireflytrack/telemetry';
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AttemptResult} from './attempt-result.js';
-import {
-  headersWithoutKey,
-  presentedKey,
-  targetWithoutKey,
-} from './caller-key.js';
+import {Attempts} from './attempts.js';
+import type {AttemptsOptions} from './attempts.js';
+import type {Call, CallResult} from './call.js';
+import {presentedKey, targetWithoutKey} from './caller-key.js';
+import {forwardRequestOf, requestDigestOf} from './forward-request.js';
 import type {Forwarder, ForwardRequest} from './forwarder.js';
+import {HedgeDelay} from './hedge-delay.js';
+import {
+  noServer,
+  outcomeUnknown,
+  refusalOfAttempt,
+  refusalOfOnceError,
+} from './refusal-mapping.js';
 import {sendRefusal} from './refusal.js';
 import type {Refusal} from './refusal.js';
-import {readRequestBody} from './request-body.js';
-import type {RequestBody} from './request-body.js';
+import {parseTarget} from './request-target.js';
+import type {RetryAllowance} from './retry-allowance.js';
 import {RouteTable} from './route-table.js';
+import {RunningCalls} from './running-calls.js';
+import {sendAnswer} from './send-answer.js';
+import type {ServingGate} from './serving-state.js';
+import type {WorkQueue} from './work-queue.js';
 
 export interface RequestPathOptions {
   source: ConfigurationSource;
   keys: KeyStore;
   limiter: TeamLimiter;
+  queue: WorkQueue;
   selector: ServerSelector;
+  retries: RetryAllowance;
   once: OnceRegistry;
   forwarder: Forwarder;
+  gate: ServingGate;
   logger: Logger;
   metrics: Metrics;
 }
 
-interface CallContext {
-  requestId: string;
-  route: Route;
-  holder: KeyHolder;
-  key: string;
-  request: IncomingMessage;
-  response: ServerResponse;
-  deadlineAtMs: number;
-}
-
-const HOLD_REQUEST_BYTES = 65_536;
-const MAX_ATTEMPTS = 3;
 const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,128}$/;
+const RETRY_AFTER_MS = 1000;
 
 export class RequestPath {
   private routes: RouteTable | undefined;
   private connectionsByService = new Map<string, number>();
-  /** Requests whose answer has not ended yet. */
-  inFlight = 0;
+  private readonly hedgeDelay = HedgeDelay.create();
+  private readonly calls = RunningCalls.create();
+  private inFlight = 0;
 
   private constructor(private readonly options: RequestPathOptions) {
     options.source.onChange(({configuration}) => {
       this.routes = RouteTable.create(configuration);
-      const servers = new Set<string>();
-      for (const service of configuration.services.values()) {
-        const share = service.connectionsPerServer / configuration.maxInstances;
-        const connections = Math.max(1, Math.floor(share));
-        this.connectionsByService.set(service.name, connections);
-        for (const server of service.servers) servers.add(server.serverId);
-      }
-      options.forwarder.retain(servers);
+      const services = [...configuration.services.values()];
+      this.shareConnections(services, configuration.maxInstances);
     });
+    options.keys.onWithdrawn(keyId => this.calls.endWithdrawn(keyId));
   }
 
   static create(options: RequestPathOptions): RequestPath {
     return new RequestPath(options);
   }
 
+  /** Requests whose answer has not ended yet. */
+  get requestsInFlight(): number {
+    return this.inFlight;
+  }
+
+  /** Ends what still runs at the bound of a planned stop. */
+  endAll(): void {
+    this.calls.endAll();
+  }
+
   /** Serves one request; never rejects. */
   async handle(
     request: IncomingMessage,
@@ -108,8 +106,12 @@
     requestId: string,
     request: IncomingMessage,
     response: ServerResponse,
-  ): Promise<Refusal | undefined> {
-    const {path, query} = splitTarget(request.url ?? '/');
+  ): Promise<CallResult> {
+    const closed = this.gateRefusal();
+    if (closed) return closed;
+    const parsed = parseTarget(request.url ?? '');
+    if (parsed.err) return parsed.val;
+    const {path, query} = parsed.val;
     const key = presentedKey(request.headers, query);
     if (key.err) return key.val;
     const holder = this.options.keys.authenticate(key.val);
@@ -118,302 +120,184 @@
         ? {code: 'key_withdrawn', message: 'the team key was withdrawn'}
         : {code: 'key_unknown', message: 'the team key is not known'};
     }
+    const {teamName, keyId} = holder.val;
     const route = this.routes?.match(request.method ?? '', path);
     if (!route) return {code: 'route_unknown', message: 'no route matches'};
-    if (route.teams !== '*' && !route.teams.includes(holder.val.teamName)) {
+    if (route.teams !== '*' && !route.teams.includes(teamName)) {
       const message = 'the team may not use this route';
       return {code: 'team_not_allowed', message};
     }
     const target = targetWithoutKey(path, query, key.val);
     if (target.err) return target.val;
-    const admission = await this.options.limiter.admit(holder.val.teamName);
-    if (!admission.admitted) {
-      const {retryAfterMs} = admission;
+    const admission = this.options.limiter.admit(teamName);
+    const admitted = 'then' in admission ? await admission : admission;
+    if (!admitted.admitted) {
+      const {retryAfterMs} = admitted;
       const message = 'the team is over its rate';
       return {code: 'rate_exceeded', message, retryAfterMs};
     }
-    const context: CallContext = {
+    const call: Call = {
       requestId,
       route,
-      holder: holder.val,
+      holder: {teamName, keyId},
       key: key.val,
+      target: target.val,
       request,
       response,
-      deadlineAtMs: performance.now() + deadlineOf(route, request),
+      deadlineAtMs: performance.now() + deadlineMsOf(route.deadlineMs, request),
     };
-    return this.execute(context, target.val);
+    return this.execute(call);
   }
 
-  private async execute(
-    context: CallContext,
-    target: string,
-  ): Promise<Refusal | undefined> {
-    const {route, request} = context;
-    const once = route.execution === 'once';
+  private async execute(call: Call): Promise<CallResult> {
+    const {route, request, holder} = call;
     const idempotencyKey = request.headers['idempotency-key'];
-    if (once && idempotencyKey !== undefined) {
+    if (idempotencyKey !== undefined && route.execution === 'once') {
       if (!IDEMPOTENCY_KEY.test(String(idempotencyKey))) {
         const message = 'idempotency-key must be 1 to 128 printable characters';
         return {code: 'bad_request', message};
       }
     }
-    const body = await readRequestBody(request, {
-      maxBytes: route.maxBodyBytes,
-      holdBytes: once ? route.maxBodyBytes : HOLD_REQUEST_BYTES,
-    });
-    if (body.err) return body.val;
-    if (
-      body.val.kind === 'whole' &&
-      bodyHoldsKey(body.val.bytes, context.key)
-    ) {
-      const message = 'the body must not contain a team key';
-      return {code: 'bad_request', message};
-    }
-    const forward = this.forwardRequest(context, target, body.val);
-    if (!once) return this.runIdempotent(context, forward);
-    if (idempotencyKey === undefined) return this.runUnkeyed(context, forward);
-    return this.runOnce(context, forward, String(idempotencyKey));
-  }
-
-  private forwardRequest(
-    context: CallContext,
-    target: string,
-    body: RequestBody,
-  ): ForwardRequest {
-    const {route, request, requestId, deadlineAtMs} = context;
-    const headers = headersWithoutKey(request.headers, context.key);
-    headers['x-team'] = context.holder.teamName;
-    return {
-      requestId,
-      method: request.method ?? 'GET',
-      target,
-      headers,
-      body,
-      deadlineAtMs,
-      answerContentType: route.answerContentType,
-      holdAnswer: route.execution === 'once',
-    };
-  }
-
-  /** Tries other servers after failures while time remains. */
-  private async runIdempotent(
-    context: CallContext,
-    forward: ForwardRequest,
-  ): Promise<Refusal | undefined> {
-    const excluded = new Set<string>();
-    const attempts = forward.body.kind === 'stream' ? 1 : MAX_ATTEMPTS;
-    let refusal: Refusal = {code: 'no_server', message: 'no server is usable'};
-    for (let attempt = 0; attempt < attempts; attempt += 1) {
-      const result = await this.attempt(context, forward, excluded);
-      if (result === undefined) return refusal;
-      if (result.kind === 'held') {
-        if (result.answer.status < 500 || attempt === attempts - 1) {
-          sendAnswer(context, result.answer);
-          return undefined;
-        }
-        refusal = {code: 'server_failed', message: 'backend server failed'};
-        continue;
-      }
-      if (result.kind === 'streamed' || result.kind === 'broken') {
-        return undefined;
+    const forward = await forwardRequestOf(call);
+    if (forward.err) return forward.val;
+    const attempts = Attempts.create(call, forward.val, this.optionsFor(route));
+    const remove = this.calls.add(holder.keyId, () => attempts.end());
+    try {
+      if (route.execution === 'idempotent') {
+        return await this.runIdempotent(call, attempts);
       }
-      refusal = refusalOf(result);
-      if (performance.now() >= context.deadlineAtMs) return refusal;
+      return await this.runOnce(call, forward.val, attempts, idempotencyKey);
+    } finally {
+      remove();
     }
-    return refusal;
   }
 
-  private async runUnkeyed(
-    context: CallContext,
-    forward: ForwardRequest,
-  ): Promise<Refusal | undefined> {
-    const outcome = await this.dispatchOnce(context, forward);
-    if (outcome.kind === 'answered') {
-      sendAnswer(context, outcome.answer);
+  private async runIdempotent(
+    call: Call,
+    attempts: Attempts,
+  ): Promise<CallResult> {
+    // A caller that hangs up frees the backend server's slot.
+    call.response.once('close', () => attempts.end());
+    const slot = await this.enterQueue(call);
+    if ('code' in slot) return slot;
+    const result = await attempts.runIdempotent();
+    slot.release();
+    if (result === undefined) return noServer('no server is usable', undefined);
+    if (result.kind === 'streamed' || result.kind === 'broken')
       return undefined;
-    }
-    if (outcome.kind === 'unknown') return outcomeUnknown(outcome.reason);
-    return noServer(outcome.reason, outcome.retryAfterMs);
+    if (result.kind !== 'held') return refusalOfAttempt(result);
+    sendAnswer(call, result.answer);
+    return undefined;
   }
 
+  /**
+   * A caller that hangs up does not end a non-idempotent request: it runs to
+   * its end, so that a repeat with the same key gets the answer.
+   */
   private async runOnce(
-    context: CallContext,
+    call: Call,
     forward: ForwardRequest,
-    idempotencyKey: string,
-  ): Promise<Refusal | undefined> {
-    const answer = await this.options.once.run(
-      {
-        teamName: context.holder.teamName,
-        idempotencyKey,
-        requestDigest: digestOf(forward),
-        deadlineMs: Math.max(1, context.deadlineAtMs - performance.now()),
-      },
-      () => this.dispatchOnce(context, forward),
-    );
+    attempts: Attempts,
+    idempotencyKey: string | string[] | undefined,
+  ): Promise<CallResult> {
+    const dispatch = () => this.dispatchOnce(call, attempts);
+    if (idempotencyKey === undefined) {
+      const outcome = await dispatch();
+      if (outcome.kind === 'unknown') return outcomeUnknown(outcome.reason);
+      if (outcome.kind === 'not-run') {
+        return noServer(outcome.reason, outcome.retryAfterMs);
+      }
+      sendAnswer(call, outcome.answer);
+      return undefined;
+    }
+    const onceRequest = {
+      teamName: call.holder.teamName,
+      idempotencyKey: String(idempotencyKey),
+      requestDigest: requestDigestOf(forward),
+      deadlineMs: Math.max(1, call.deadlineAtMs - performance.now()),
+    };
+    const answer = await this.options.once.run(onceRequest, dispatch);
     if (answer.err) return refusalOfOnceError(answer.val);
-    sendAnswer(context, answer.val);
+    sendAnswer(call, answer.val);
     return undefined;
   }
 
-  /** Sends a non-idempotent request; a second server only if none got it. */
   private async dispatchOnce(
-    context: CallContext,
-    forward: ForwardRequest,
+    call: Call,
+    attempts: Attempts,
   ): Promise<DispatchOutcome> {
-    const excluded = new Set<string>();
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const result = await this.attempt(context, forward, excluded);
-      if (result === undefined) break;
-      if (result.kind === 'held')
-        return {kind: 'answered', answer: result.answer};
-      if (result.kind === 'declined') {
-        const {retryAfterMs} = result;
-        const reason = 'the backend server declined it';
-        return {kind: 'not-run', reason, retryAfterMs: retryAfterMs ?? 1000};
-      }
-      if (result.kind !== 'failed' || result.mayHaveRun) {
-        const reason =
-          result.kind === 'failed' ? result.reason : 'broken answer';
-        return {kind: 'unknown', reason};
-      }
-      if (result.cause === 'deadline' || result.cause === 'cancelled') break;
+    const slot = await this.enterQueue(call);
+    if ('code' in slot) {
+      const {message, retryAfterMs} = slot;
+      return {
+        kind: 'not-run',
+        reason: message,
+        retryAfterMs: retryAfterMs ?? RETRY_AFTER_MS,
+      };
+    }
+    try {
+      return await attempts.runOnce();
+    } finally {
+      slot.release();
     }
-    return {kind: 'not-run', reason: 'no server could be reached'};
   }
 
-  private async attempt(
-    context: CallContext,
-    forward: ForwardRequest,
-    excluded: Set<string>,
-  ): Promise<AttemptResult | undefined> {
-    const {selector, forwarder} = this.options;
-    const {service} = context.route;
-    const selected = selector.select(service, {excluded});
-    if (selected.err) return undefined;
-    const selection: Selection = selected.val;
-    excluded.add(selection.server.serverId);
-    const connections = this.connectionsByService.get(service) ?? 1;
-    const startedAtMs = performance.now();
-    const attempt = forwarder.attempt(
-      selection.server,
-      connections,
-      forward,
-      context.response,
-    );
-    const cancel = () => attempt.cancel();
-    context.response.once('close', cancel);
-    const result = await attempt.result;
-    context.response.off('close', cancel);
-    const latencyMs = performance.now() - startedAtMs;
-    selection.settle({kind: outcomeKind(result), latencyMs});
-    return result;
+  private async enterQueue(call: Call) {
+    const {route, holder, deadlineAtMs} = call;
+    const {queue} = this.options;
+    const entered = queue.enter(route.service, holder.teamName, deadlineAtMs);
+    const slot = 'then' in entered ? await entered : entered;
+    if (slot.ok) return slot.val;
+    const full = slot.val.kind === 'queue-full';
+    const refusal: Refusal = {
+      code: full ? 'queue_full' : 'deadline_exceeded',
+      message: full ? 'too many requests wait' : 'no slot before the deadline',
+      retryAfterMs: RETRY_AFTER_MS,
+    };
+    return refusal;
   }
 
-  private refuse(
-    requestId: string,
-    response: ServerResponse,
-    refusal: Refusal,
-  ): void {
-    this.options.metrics.count('refusals', {code: refusal.code});
-    if (response.destroyed) return;
-    sendRefusal(response, requestId, refusal);
+  private optionsFor(route: Call['route']): AttemptsOptions {
+    const {selector, forwarder, retries} = this.options;
+    const connections = this.connectionsByService.get(route.service) ?? 1;
+    const {hedgeDelay} = this;
+    return {selector, forwarder, retries, hedgeDelay, connections};
   }
-}
-
-function splitTarget(url: string): {path: string; query: URLSearchParams} {
-  const mark = url.indexOf('?');
-  if (mark < 0) return {path: url, query: new URLSearchParams()};
-  return {
-    path: url.slice(0, mark),
-    query: new URLSearchParams(url.slice(mark + 1)),
-  };
-}
-
-function deadlineOf(route: Route, request: IncomingMessage): number {
-  const asked = Number(request.headers['x-deadline-ms']);
-  return asked > 0 ? Math.min(asked, route.deadlineMs) : route.deadlineMs;
-}
-
-function bodyHoldsKey(body: Buffer, key: string): boolean {
-  return body.includes(key.slice(key.lastIndexOf('_') + 1));
-}
 
-function digestOf(forward: ForwardRequest): string {
-  const hash = createHash('sha256');
-  hash.update(`${forward.method} ${forward.target}\n`);
-  if (forward.body.kind === 'whole') hash.update(forward.body.bytes);
-  return hash.digest('hex');
-}
-
-function sendAnswer(context: CallContext, answer: StoredAnswer): void {
-  const {response, request} = context;
-  if (response.destroyed) return;
-  const headers: Record<string, string> = {...answer.headers};
-  headers['x-request-id'] = context.requestId;
-  if (request.method !== 'HEAD' && answer.status !== 304) {
-    headers['content-length'] = String(answer.body.length);
+  private shareConnections(services: Service[], maxInstances: number): void {
+    this.connectionsByService = new Map();
+    const servers = new Set<string>();
+    for (const service of services) {
+      const share = Math.floor(service.connectionsPerServer / maxInstances);
+      this.connectionsByService.set(service.name, Math.max(1, share));
+      for (const server of service.servers) servers.add(server.serverId);
+    }
+    this.options.forwarder.retain(servers);
   }
-  if (answer.status === 204) delete headers['content-length'];
-  response.writeHead(answer.status, headers);
-  response.end(request.method === 'HEAD' ? undefined : answer.body);
-}
 
-function outcomeKind(result: AttemptResult): ServerOutcome['kind'] {
-  switch (result.kind) {
-    case 'held':
-      if (result.answer.status >= 500) return 'fault';
-      return result.answer.status >= 400 ? 'caller-error' : 'ok';
-    case 'streamed':
-      return result.status >= 500 ? 'fault' : 'ok';
-    case 'broken':
-      return 'fault';
-    case 'declined':
-      return result.draining ? 'draining' : 'shed';
-    case 'failed':
-      if (result.cause === 'cancelled') return 'cancelled';
-      return result.cause === 'invalid' ? 'invalid' : 'fault';
+  private gateRefusal(): CallResult {
+    const state = this.options.gate.state();
+    if (state === 'serving') return undefined;
+    const retryAfterMs = RETRY_AFTER_MS;
+    return state === 'stopping'
+      ? {code: 'stopping', message: 'the instance is stopping', retryAfterMs}
+      : {code: 'not_fresh', message: 'the instance is cut off', retryAfterMs};
   }
-}
 
-function refusalOf(result: AttemptResult): Refusal {
-  if (result.kind === 'declined') {
-    return noServer('the backend server declined it', result.retryAfterMs);
-  }
-  if (result.kind !== 'failed') return outcomeUnknown('broken answer');
-  if (result.mayHaveRun) {
-    return {code: 'server_failed', message: 'the backend server failed'};
-  }
-  if (result.cause === 'deadline') {
-    return {code: 'deadline_exceeded', message: 'not sent before the deadline'};
+  private refuse(
+    requestId: string,
+    response: ServerResponse,
+    refusal: Refusal,
+  ): void {
+    const {code, message} = refusal;
+    this.options.metrics.count('refusals', {code});
+    this.options.logger.debug('refused', {requestId, code, reason: message});
+    if (response.headersSent) response.destroy();
+    else if (!response.destroyed) sendRefusal(response, requestId, refusal);
   }
-  return noServer('no server could be reached', undefined);
-}
-
-function noServer(message: string, retryAfterMs: number | undefined): Refusal {
-  return {code: 'no_server', message, retryAfterMs: retryAfterMs ?? 1000};
-}
-
-function outcomeUnknown(message: string): Refusal {
-  return {code: 'outcome_unknown', message};
 }
 
-function refusalOfOnceError(error: OnceError): Refusal {
-  const {message, retryAfterMs} = error;
-  const details = {message, ...(retryAfterMs !== undefined && {retryAfterMs})};
-  switch (error.kind) {
-    case 'not-run':
-      return {code: 'no_server', ...details};
-    case 'unknown':
-      return {code: 'outcome_unknown', ...details};
-    case 'store-unavailable':
-      return {code: 'claim_store_unavailable', ...details};
-    case 'key-reused':
-      return {code: 'key_reused', ...details};
-    case 'key-expired':
-      return {code: 'key_expired', ...details};
-    case 'answer-gone':
-      return {code: 'answer_gone', ...details};
-    case 'in-progress':
-      return {code: 'in_progress', ...details};
-  }
+function deadlineMsOf(routeMs: number, request: IncomingMessage): number {
+  const askedMs = Number(request.headers['x-deadline-ms']);
+  return askedMs > 0 ? Math.min(askedMs, routeMs) : routeMs;
 }
--- /dev/null
+++ b/packages/entry/src/lib/request-target.ts
@@ -0,0 +1,35 @@
+/**
+ * Splits and checks the target of a request.
+ *
+ * A backend server may resolve dot segments, and would then serve a path that
+ * the matched route does not cover; so such paths are refused.
+ */
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+
+export interface RequestTarget {
+  path: string;
+  query: URLSearchParams;
+}
+
+export interface TargetError {
+  code: 'bad_request';
+  message: string;
+}
+
+const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
+const ENCODED_SEPARATOR = /%2f|%5c|\\/i;
+
+export function parseTarget(url: string): Result<RequestTarget, TargetError> {
+  if (!url.startsWith('/')) {
+    return Err({code: 'bad_request', message: 'the target must be a path'});
+  }
+  const mark = url.indexOf('?');
+  const path = mark < 0 ? url : url.slice(0, mark);
+  if (DOT_SEGMENT.test(path) || ENCODED_SEPARATOR.test(path)) {
+    const message = 'the path must not hold dot segments or encoded separators';
+    return Err({code: 'bad_request', message});
+  }
+  const query = new URLSearchParams(mark < 0 ? '' : url.slice(mark + 1));
+  return Ok({path, query});
+}
--- /dev/null
+++ b/packages/entry/src/lib/work-queue.ts
@@ -0,0 +1,33 @@
+/** The queue in front of the scarce slots of a service's backend servers. */
+import {Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+
+export interface WorkSlot {
+  release(): void;
+}
+
+export interface WorkQueueError {
+  kind: 'queue-full' | 'deadline';
+}
+
+type EnterResult = Result<WorkSlot, WorkQueueError>;
+
+export interface WorkQueue {
+  /** Answers synchronously when a slot is free and nobody waits. */
+  enter(
+    serviceName: string,
+    teamName: string,
+    deadlineAtMs: number,
+  ): EnterResult | Promise<EnterResult>;
+}
+
+/** Lets every request through: the naive variant, for comparisons. */
+export class UnboundedQueue implements WorkQueue {
+  static create(): UnboundedQueue {
+    return new UnboundedQueue();
+  }
+
+  enter(): EnterResult {
+    return Ok({release() {}});
+  }
+}
--- /dev/null
+++ b/packages/entry/src/test/bad-input_test.ts
@@ -0,0 +1,101 @@
+/** Guards against callers' bad input that stops or confuses the process. */
+import {expect} from 'earl';
+import {connect} from 'node:net';
+import type {Server} from 'node:net';
+import {after, before, describe, it} from 'node:test';
+import {request} from 'undici';
+import {KEY, fixedAnswer, rawServer, startEntry} from './entry-fixture.js';
+import type {EntryFixture} from './entry-fixture.js';
+
+let entry: EntryFixture;
+let backend: Server;
+const seen: string[] = [];
+
+before(async () => {
+  const answer = fixedAnswer('HTTP/1.1 200 OK\r\ncontent-length: 2', 'ok');
+  const started = await rawServer(socket => {
+    socket.on('data', data => seen.push(data.toString('latin1')));
+    answer(socket);
+  });
+  backend = started.server;
+  entry = await startEntry([started.port]);
+});
+
+after(async () => {
+  await entry.close();
+  backend.close();
+});
+
+async function codeOf(
+  path: string,
+  options: {headers?: Record<string, string>; body?: string} = {},
+): Promise<string> {
+  const answer = await request(`${entry.url}${path}`, {
+    method: options.body === undefined ? 'GET' : 'POST',
+    headers: {'x-api-key': KEY, ...options.headers},
+    body: options.body ?? null,
+  });
+  const text = await answer.body.text();
+  return answer.statusCode === 200 ? 'ok' : JSON.parse(text).code;
+}
+
+/** Sends bytes as they are and returns the status line. */
+async function raw(bytes: string): Promise<string> {
+  const socket = connect(entry.port, '127.0.0.1');
+  socket.on('error', () => {});
+  socket.write(bytes);
+  const chunks: Buffer[] = [];
+  for await (const chunk of socket) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('latin1').split('\r\n')[0]!;
+}
+
+describe('bad input', () => {
+  it('is refused when the path could leave its route', async () => {
+    for (const path of [
+      '/stock/../orders',
+      '/stock/%2e%2e/a',
+      '/stock/a%2fb',
+    ]) {
+      const head = `GET ${path} HTTP/1.1\r\nhost: a\r\nconnection: close`;
+      const status = await raw(`${head}\r\nx-api-key: ${KEY}\r\n\r\n`);
+      expect(status).toEqual('HTTP/1.1 400 Bad Request');
+    }
+  });
+
+  it('is refused when the body is over the limit', async () => {
+    const body = 'x'.repeat(1001);
+    expect(await codeOf('/orders', {body})).toEqual('body_too_large');
+  });
+
+  it('is refused when the body holds the key, also across chunks', async () => {
+    expect(await codeOf('/stock/1', {body: `a ${KEY}`})).toEqual('bad_request');
+    seen.length = 0;
+    const chunk = 'x'.repeat(65_530);
+    const body = `${chunk}${KEY}${chunk}${chunk}`;
+    expect(await codeOf('/stock/1', {body})).not.toEqual('ok');
+    expect(seen.join('').includes('b'.repeat(48))).toEqual(false);
+  });
+
+  it('is answered when a header is huge', async () => {
+    const status = await raw(
+      `GET /stock/1 HTTP/1.1\r\nhost: a\r\nx-a: ${'x'.repeat(40_000)}\r\n\r\n`,
+    );
+    expect(status.startsWith('HTTP/1.1 431')).toEqual(true);
+  });
+
+  it('is answered when the content length is malformed', async () => {
+    const status = await raw(
+      'POST /stock/1 HTTP/1.1\r\nhost: a\r\ncontent-length: two\r\n\r\n',
+    );
+    expect(status.startsWith('HTTP/1.1 400')).toEqual(true);
+  });
+
+  it('is refused when the team is unknown', async () => {
+    const headers = {'x-api-key': 'fft_unknown'};
+    expect(await codeOf('/stock/1', {headers})).toEqual('key_unknown');
+  });
+
+  it('leaves the process serving', async () => {
+    expect(await codeOf('/stock/1')).toEqual('ok');
+  });
+});
