--- a/packages/membership/src/lib/membership.ts
+++ b/packages/membership/src/lib/membership.ts
@@ -26,8 +26,11 @@
 
 /** How recently the store's state is known here, without comparing clocks. */
 export interface FreshnessEvidence {
-  /** Tells the result of this instance's own read of the store. */
-  recordRead(succeeded: boolean): void;
+  /**
+   * Tells the result of this instance's own read of the store. `startedAtMs`,
+   * by default now, is when it was sent on the monotonic clock.
+   */
+  recordRead(succeeded: boolean, startedAtMs?: number): void;
   /** Upper bound of the age of the newest evidence; infinite without any. */
   ageMs(): number;
 }
--- /dev/null
+++ b/packages/membership/src/test/table-lease_test.ts
@@ -0,0 +1,146 @@
+/** Guards the lease against pauses, lost answers and late writes. */
+import {MemoryTable} from '@fireflytrack/platform';
+import type {TableService} from '@fireflytrack/platform';
+import {createLogger} from '@fireflytrack/telemetry';
+import FakeTimers from '@sinonjs/fake-timers';
+import {expect} from 'earl';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {TableLease} from '../lib/table-lease.js';
+
+const logger = createLogger({level: 'error', silent: true});
+const TTL_MS = 9000;
+
+/** Holds back calls, as the table appears to a paused or cut process. */
+class PausableTable implements TableService {
+  private gate: Promise<void> = Promise.resolve();
+  private open = () => {};
+
+  constructor(private readonly table: MemoryTable) {}
+
+  pause(): void {
+    this.gate = new Promise(resolve => (this.open = resolve));
+  }
+
+  resume(): void {
+    this.open();
+  }
+
+  get = async (key: string) => this.after(() => this.table.get(key));
+  scan = async (prefix: string, limit: number) =>
+    this.after(() => this.table.scan(prefix, limit));
+  batch: TableService['batch'] = async (operations, options) =>
+    this.after(() => this.table.batch(operations, options));
+
+  private async after<T>(call: () => Promise<T>): Promise<T> {
+    await this.gate;
+    return call();
+  }
+}
+
+describe('TableLease', () => {
+  let clock: FakeTimers.Clock;
+  let table: MemoryTable;
+  let leases: TableLease[];
+
+  function start(holderId: string, through: TableService = table): TableLease {
+    const options = {name: 'n', holderId, ttlMs: TTL_MS, logger};
+    const lease = TableLease.create({...options, table: through});
+    leases.push(lease);
+    lease.start();
+    return lease;
+  }
+
+  /** Advances in small steps; at no instant may two leases be held. */
+  async function advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+      await clock.tickAsync(100);
+      const holders = leases.filter(lease => lease.isHeld()).length;
+      expect(holders <= 1).toEqual(true);
+    }
+  }
+
+  const put = (key: string) => async () => {
+    const row = await table.get(key);
+    const ifVersion = row.unwrap()?.version ?? 0;
+    const operation = {kind: 'put' as const, key, ifVersion, value: 1};
+    return row.map(() => [operation]);
+  };
+
+  beforeEach(() => {
+    clock = FakeTimers.install();
+    table = MemoryTable.create();
+    leases = [];
+  });
+
+  afterEach(() => clock.uninstall());
+
+  it('passes from a silent holder after its ttl, with a new epoch', async () => {
+    const through = new PausableTable(table);
+    const a = start('a', through);
+    await advance(100);
+    const b = start('b');
+    await advance(30_000);
+    expect([a.isHeld(), a.epoch(), b.isHeld()]).toEqual([true, 1, false]);
+    through.pause();
+    await advance(2 * TTL_MS + 4000);
+    expect([a.isHeld(), b.isHeld(), b.epoch()]).toEqual([false, true, 2]);
+    through.resume();
+    await advance(30_000);
+    expect([a.isHeld(), b.isHeld()]).toEqual([false, true]);
+  });
+
+  it('fences the writes of a holder that was paused', async () => {
+    const through = new PausableTable(table);
+    const a = start('a', through);
+    await advance(100);
+    const b = start('b');
+    const fresh = await a.runFenced(put('fresh'));
+    expect(fresh.unwrap()).toEqual(true);
+    // The write leaves a while it holds the lease and arrives much later.
+    const late = a.runFenced(async () => {
+      const plan = await put('late')();
+      through.pause();
+      return plan;
+    });
+    await advance(3 * TTL_MS);
+    expect(b.isHeld()).toEqual(true);
+    through.resume();
+    await advance(100);
+    expect((await late).unwrap()).toEqual(false);
+    expect((await table.get('late')).unwrap()).toEqual(undefined);
+  });
+
+  it('resolves lost answers by its writer id', async () => {
+    table.lostAnswers = 1;
+    const a = start('a');
+    await advance(100);
+    expect(a.isHeld()).toEqual(true);
+    table.lostAnswers = 1;
+    const written = await a.runFenced(put('row'));
+    expect(written.unwrap()).toEqual(true);
+    table.lostAnswers = 2;
+    await advance(2 * TTL_MS);
+    expect([a.isHeld(), a.epoch()]).toEqual([true, 1]);
+  });
+
+  it('lapses in an outage and is taken again after it', async () => {
+    const a = start('a');
+    await advance(100);
+    table.unavailable = true;
+    await advance(TTL_MS);
+    expect(a.isHeld()).toEqual(false);
+    table.unavailable = false;
+    await advance(TTL_MS);
+    expect([a.isHeld(), a.epoch()]).toEqual([true, 2]);
+  });
+
+  it('is free at once after an orderly release', async () => {
+    const a = start('a');
+    const b = start('b');
+    await advance(100);
+    expect(a.isHeld()).toEqual(true);
+    await a.stop();
+    await advance(TTL_MS / 2);
+    expect([a.isHeld(), b.isHeld(), b.epoch()]).toEqual([false, true, 2]);
+  });
+});
