Distribute configuration and keys by store and peers; apply atomically

Cause: instances learnt of changes only by polling the store, without a version check, and a lost answer or a repeated change id had no outcome.

Change: PollingConfiguration gives way to ConfigurationDistribution. An apply writes head, change and version rows in one batch and resolves a lost answer by the change row. The administration API is split by subject; the gateway refuses with not_fresh. FreshnessEvidence.recordRead takes the time at which the read was sent.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,5 @@
 export {
+  SCHEMA_VERSION,
   configurationSchema,
   routeSchema,
   serviceSchema,
@@ -24,6 +25,21 @@
 export type {KeyError, KeyHolder, KeyStore} from './lib/key-store.js';
 export {createTeamKey, hashSecret, parseTeamKey} from './lib/team-key.js';
 export type {TeamKey} from './lib/team-key.js';
-export {PollingConfiguration} from './lib/polling-configuration.js';
+export {ConfigurationDistribution} from './lib/configuration-distribution.js';
+export type {
+  DistributionOptions,
+  DistributionStatus,
+} from './lib/configuration-distribution.js';
+export {ConfigurationChanges} from './lib/configuration-changes.js';
+export type {
+  IssueStatus,
+  VersionStatus,
+  WithdrawalStatus,
+} from './lib/configuration-changes.js';
+export type {ChangeState} from './lib/change-tracker.js';
 export {ConfigurationRepository} from './lib/configuration-repository.js';
+export type {ApplyChange} from './lib/configuration-repository.js';
+export {KeyRepository} from './lib/key-repository.js';
+export type {IssuedKey} from './lib/key-repository.js';
+export type {ConfigurationHead, KeySet} from './lib/stored-rows.js';
 export type {ConfigurationError} from './lib/configuration-error.js';
--- a/packages/configuration/src/lib/configuration-repository.ts
+++ b/packages/configuration/src/lib/configuration-repository.ts
@@ -1,36 +1,42 @@
 /**
- * Reads and changes the stored configuration and key set.
+ * Reads and changes the stored configuration.
  *
- * A text goes to the object store under its hash first; one atomic batch then
- * moves the head and records the change id, so a repeated change id gives the
- * first outcome.
+ * A text goes to the object store under its hash first. One atomic batch then
+ * moves the head and writes the rows of the change and of the version, so a
+ * repeated change id gives the first outcome.
  */
 import {Err, Ok} from '@fireflytrack/result';
 import type {Result} from '@fireflytrack/result';
 import type {
   ObjectStore,
   PlatformError,
-  TableRow,
+  TableOperation,
   TableService,
 } from '@fireflytrack/platform';
 import {createHash} from 'node:crypto';
 import type {ConfigurationError} from './configuration-error.js';
 import {parseConfigurationText} from './configuration-text.js';
-import {HEAD_KEY, KEYS_KEY, headSchema, keysRowSchema} from './stored-rows.js';
-import type {ConfigurationHead, KeyRecord} from './stored-rows.js';
+import {HEAD_KEY, changeKey, headSchema, versionKey} from './stored-rows.js';
+import type {ConfigurationHead} from './stored-rows.js';
+import {
+  RESOLVE_DELAYS_MS,
+  readFailure,
+  readStoredRow,
+  sleep,
+  writeFailure,
+} from './stored-row-reader.js';
+import type {StoredRow} from './stored-row-reader.js';
 import {formatTextError} from './text-error.js';
-import {createTeamKey, hashSecret} from './team-key.js';
 
 export interface ApplyChange {
   text: string;
+  /** Version that the text was made from; 0 for the first one. */
   baseVersion: number;
+  /** Asking again with the same id gives the first outcome. */
   changeId: string;
 }
 
-export interface StoredText {
-  head: ConfigurationHead;
-  text: string;
-}
+type Outcome = Result<ConfigurationHead, ConfigurationError>;
 
 export class ConfigurationRepository {
   private constructor(
@@ -48,8 +54,8 @@
   async readHead(): Promise<
     Result<ConfigurationHead | undefined, PlatformError>
   > {
-    const row = await this.table.get(HEAD_KEY);
-    return row.map(found => found && headSchema.parse(found.value));
+    const head = await this.readHeadRow();
+    return head.map(row => row.value);
   }
 
   async readText(
@@ -59,56 +65,69 @@
     return bytes.map(found => found && Buffer.from(found).toString('utf8'));
   }
 
-  async apply(
-    change: ApplyChange,
-  ): Promise<Result<number, ConfigurationError>> {
+  /** The version that a change id made, if it made one. */
+  async readChange(
+    changeId: string,
+  ): Promise<Result<ConfigurationHead | undefined, PlatformError>> {
+    const key = changeKey(changeId);
+    const row = await readStoredRow(this.table, key, headSchema);
+    return row.map(found => found.value);
+  }
+
+  async readVersion(
+    version: number,
+  ): Promise<Result<ConfigurationHead | undefined, PlatformError>> {
+    const key = versionKey(version);
+    const row = await readStoredRow(this.table, key, headSchema);
+    return row.map(found => found.value);
+  }
+
+  /** The newest versions, newest first. */
+  async readHistory(
+    limit: number,
+  ): Promise<Result<ConfigurationHead[], PlatformError>> {
+    const head = await this.readHead();
+    if (head.err) return head;
+    const newest = head.val?.version ?? 0;
+    const count = Math.min(limit, newest);
+    const rows = await Promise.all(
+      Array.from({length: count}, (_, index) =>
+        this.readVersion(newest - index),
+      ),
+    );
+    const versions: ConfigurationHead[] = [];
+    for (const row of rows) {
+      if (row.err) return row;
+      if (row.val) versions.push(row.val);
+    }
+    return Ok(versions);
+  }
+
+  async apply(change: ApplyChange): Promise<Outcome> {
     const parsed = parseConfigurationText(change.text, 'request');
     if (parsed.err) {
       return Err({kind: 'invalid', message: formatTextError(parsed.val)});
     }
-    const row = await this.table.get(HEAD_KEY);
-    if (row.err) return Err(readFailure(row.val));
-    const head = row.val && headSchema.parse(row.val.value);
-    const currentVersion = head?.version ?? 0;
-    if (currentVersion !== change.baseVersion) {
-      const message = `version ${currentVersion} is in force`;
-      return Err({kind: 'conflict', currentVersion, message});
+    const head = await this.readHeadRow();
+    if (head.err) return Err(readFailure(head.val));
+    const earlier = await this.readChange(change.changeId);
+    if (earlier.err) return Err(readFailure(earlier.val));
+    if (earlier.val) return firstOutcome(change, earlier.val);
+    if ((head.val.value?.version ?? 0) !== change.baseVersion) {
+      return conflict(head.val.value);
     }
-    return this.writeHead(change, row.val, head);
+    return this.write(change, head.val);
   }
 
-  async readKeys(): Promise<Result<KeyRecord[], PlatformError>> {
-    const row = await this.table.get(KEYS_KEY);
-    return row.map(found => keysOf(found));
+  private readHeadRow() {
+    return readStoredRow(this.table, HEAD_KEY, headSchema);
   }
 
-  /** Issues a key; the returned text is the only copy of the secret. */
-  async issueKey(
-    teamName: string,
-  ): Promise<Result<string, ConfigurationError>> {
-    const key = createTeamKey();
-    const record: KeyRecord = {
-      keyId: key.keyId,
-      teamName,
-      secretHash: hashSecret(key.secret),
-      withdrawn: false,
-    };
-    const written = await this.changeKeys(keys => [...keys, record]);
-    return written.map(() => `fft_${key.keyId}_${key.secret}`);
-  }
-
-  async withdrawKey(keyId: string): Promise<Result<void, ConfigurationError>> {
-    return this.changeKeys(keys =>
-      keys.map(key => (key.keyId === keyId ? {...key, withdrawn: true} : key)),
-    );
-  }
-
-  private async writeHead(
+  private async write(
     change: ApplyChange,
-    row: TableRow | undefined,
-    head: ConfigurationHead | undefined,
-  ): Promise<Result<number, ConfigurationError>> {
-    const hash = createHash('sha256').update(change.text).digest('hex');
+    head: StoredRow<ConfigurationHead>,
+  ): Promise<Outcome> {
+    const hash = hashOf(change.text);
     const objectKey = `config/${hash}`;
     const stored = await this.objects.put(objectKey, Buffer.from(change.text));
     if (stored.err) return Err(readFailure(stored.val));
@@ -116,53 +135,76 @@
       version: change.baseVersion + 1,
       changeId: change.changeId,
       hash,
-      previousHash: head?.hash ?? '',
+      previousHash: head.value?.hash ?? '',
       objectKey,
     };
-    const operation = {
-      kind: 'put' as const,
-      key: HEAD_KEY,
-      ifVersion: row?.version ?? 0,
-      value: next,
-    };
-    const results = await this.table.batch([operation], {atomic: true});
-    if (results.err) return Err(writeFailure(results.val));
-    const result = results.val[0]!;
-    if (result.applied) return Ok(next.version);
-    const current = result.current && headSchema.parse(result.current.value);
-    const currentVersion = current?.version ?? 0;
-    const message = `version ${currentVersion} is in force`;
-    return Err({kind: 'conflict', currentVersion, message});
+    const results = await this.table.batch(
+      [
+        put(HEAD_KEY, head.rowVersion, next),
+        put(changeKey(change.changeId), 0, next),
+        put(versionKey(next.version), 0, next),
+      ],
+      {atomic: true},
+    );
+    if (results.ok && results.val.every(result => result.applied)) {
+      return Ok(next);
+    }
+    if (results.err && results.val.kind === 'unavailable') {
+      return Err(readFailure(results.val));
+    }
+    return this.resolve(change, head.rowVersion);
   }
 
-  private async changeKeys(
-    change: (keys: KeyRecord[]) => KeyRecord[],
-  ): Promise<Result<void, ConfigurationError>> {
-    for (;;) {
-      const row = await this.table.get(KEYS_KEY);
-      if (row.err) return Err(readFailure(row.val));
-      const operation = {
-        kind: 'put' as const,
-        key: KEYS_KEY,
-        ifVersion: row.val?.version ?? 0,
-        value: {keys: change(keysOf(row.val))},
-      };
-      const results = await this.table.batch([operation], {atomic: true});
-      if (results.err) return Err(writeFailure(results.val));
-      if (results.val[0]!.applied) return Ok(undefined);
+  /**
+   * Finds out whether a batch took effect. The head is read before the change
+   * row: when the head moved and the change row is missing, the batch can never
+   * take effect.
+   */
+  private async resolve(
+    change: ApplyChange,
+    headRowVersion: number,
+  ): Promise<Outcome> {
+    let failure: ConfigurationError = {
+      kind: 'outcome-unknown',
+      message: 'no answer; ask again with the same change id',
+    };
+    for (const delayMs of RESOLVE_DELAYS_MS) {
+      await sleep(delayMs);
+      const head = await this.readHeadRow();
+      const made = await this.readChange(change.changeId);
+      if (head.err || made.err) {
+        const error = head.err ? head.val : (made.val as PlatformError);
+        failure = writeFailure({...error, kind: 'outcome-unknown'});
+        continue;
+      }
+      if (made.val) return firstOutcome(change, made.val);
+      if (head.val.rowVersion !== headRowVersion) {
+        return conflict(head.val.value);
+      }
     }
+    return Err(failure);
   }
 }
 
-function keysOf(row: TableRow | undefined): KeyRecord[] {
-  return row ? keysRowSchema.parse(row.value).keys : [];
+function put(key: string, ifVersion: number, value: unknown): TableOperation {
+  return {kind: 'put', key, ifVersion, value};
+}
+
+function hashOf(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
 }
 
-function readFailure(error: PlatformError): ConfigurationError {
-  return {kind: 'store-unavailable', message: error.message};
+function firstOutcome(change: ApplyChange, made: ConfigurationHead): Outcome {
+  const same =
+    made.hash === hashOf(change.text) &&
+    made.version === change.baseVersion + 1;
+  if (same) return Ok(made);
+  const message = `change id was used for another change (version ${made.version})`;
+  return Err({kind: 'invalid', message});
 }
 
-function writeFailure(error: PlatformError): ConfigurationError {
-  if (error.kind === 'unavailable') return readFailure(error);
-  return {kind: 'outcome-unknown', message: error.message};
+function conflict(head: ConfigurationHead | undefined): Outcome {
+  const currentVersion = head?.version ?? 0;
+  const message = `the current version is ${currentVersion}`;
+  return Err({kind: 'conflict', currentVersion, message});
 }
--- /dev/null
+++ b/packages/configuration/src/lib/key-repository.ts
@@ -0,0 +1,127 @@
+/**
+ * Reads and changes the stored key set.
+ *
+ * Every change is a compare-and-set of one row that is tried again after a
+ * conflict. Both changes can be repeated safely: an issued key has an id that
+ * follows from its change id, and withdrawals only accumulate.
+ */
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import type {PlatformError, TableService} from '@fireflytrack/platform';
+import {createHash} from 'node:crypto';
+import type {ConfigurationError} from './configuration-error.js';
+import {KEYS_KEY, keySetSchema} from './stored-rows.js';
+import type {KeyRecord, KeySet} from './stored-rows.js';
+import {
+  RESOLVE_DELAYS_MS,
+  readFailure,
+  readStoredRow,
+  sleep,
+  writeFailure,
+} from './stored-row-reader.js';
+import {createTeamKey, hashSecret} from './team-key.js';
+
+export interface IssuedKey {
+  keyId: string;
+  /** The only copy of the key in clear. */
+  key: string;
+  /** Version of the key set that holds the key. */
+  keySetVersion: number;
+}
+
+type Change = (keySet: KeySet) => Result<KeySet, ConfigurationError>;
+
+const EMPTY: KeySet = {version: 0, keys: [], withdrawn: []};
+const KEY_ID_LENGTH = 16;
+// Racing operators cannot starve each other this long.
+const MAX_ATTEMPTS = 50;
+
+export class KeyRepository {
+  private constructor(private readonly table: TableService) {}
+
+  static create(table: TableService): KeyRepository {
+    return new KeyRepository(table);
+  }
+
+  async read(): Promise<Result<KeySet, PlatformError>> {
+    const row = await readStoredRow(this.table, KEYS_KEY, keySetSchema);
+    return row.map(found => found.value ?? EMPTY);
+  }
+
+  async issue(
+    teamName: string,
+    changeId: string,
+  ): Promise<Result<IssuedKey, ConfigurationError>> {
+    const {secret} = createTeamKey();
+    const keyId = keyIdOf(changeId);
+    const record: KeyRecord = {keyId, teamName, secretHash: hashSecret(secret)};
+    const written = await this.change(keySet => {
+      const found = keySet.keys.find(key => key.keyId === keyId);
+      if (found?.secretHash === record.secretHash) return Ok(keySet);
+      if (found) return Err(alreadyIssued(keyId));
+      return Ok({...keySet, keys: [...keySet.keys, record]});
+    });
+    return written.map(keySet => ({
+      keyId,
+      key: `fft_${keyId}_${secret}`,
+      keySetVersion: keySet.version,
+    }));
+  }
+
+  /** Adds withdrawn ids and returns the key set that holds them. */
+  async withdraw(
+    keyIds: readonly string[],
+  ): Promise<Result<KeySet, ConfigurationError>> {
+    return this.change(keySet => {
+      const added = keyIds.filter(id => !keySet.withdrawn.includes(id));
+      if (added.length === 0) return Ok(keySet);
+      return Ok({...keySet, withdrawn: [...keySet.withdrawn, ...added]});
+    });
+  }
+
+  private async change(
+    change: Change,
+  ): Promise<Result<KeySet, ConfigurationError>> {
+    let lostAnswers = 0;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      const row = await readStoredRow(this.table, KEYS_KEY, keySetSchema);
+      if (row.err) {
+        if (lostAnswers === 0) return Err(readFailure(row.val));
+        return Err(writeFailure({...row.val, kind: 'outcome-unknown'}));
+      }
+      const before = row.val.value ?? EMPTY;
+      const after = change(before);
+      // No difference: an earlier attempt took effect, or nothing is to do.
+      if (after.err || after.val === before) return after;
+      const value = {...after.val, version: before.version + 1};
+      const ifVersion = row.val.rowVersion;
+      const results = await this.table.batch(
+        [{kind: 'put', key: KEYS_KEY, ifVersion, value}],
+        {atomic: true},
+      );
+      if (results.ok && results.val[0]?.applied) return Ok(value);
+      if (results.ok) continue;
+      if (results.val.kind === 'unavailable') {
+        return Err(readFailure(results.val));
+      }
+      const delayMs = RESOLVE_DELAYS_MS[lostAnswers];
+      if (delayMs === undefined) return Err(writeFailure(results.val));
+      lostAnswers += 1;
+      await sleep(delayMs);
+    }
+    const message = 'too many concurrent changes';
+    return Err({kind: 'store-unavailable', message});
+  }
+}
+
+function keyIdOf(changeId: string): string {
+  const digest = createHash('sha256').update(`issue:${changeId}`);
+  return digest.digest('hex').slice(0, KEY_ID_LENGTH);
+}
+
+function alreadyIssued(keyId: string): ConfigurationError {
+  const message =
+    `the change id was used: key ${keyId} was issued and shown once; ` +
+    'withdraw it and issue another';
+  return {kind: 'invalid', message};
+}
--- /dev/null
+++ b/packages/configuration/src/lib/stored-row-reader.ts
@@ -0,0 +1,57 @@
+/** Reads rows of the table service by their schemas. */
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import {platformError} from '@fireflytrack/platform';
+import type {
+  PlatformError,
+  TableRow,
+  TableService,
+} from '@fireflytrack/platform';
+import type {z} from 'zod';
+import type {ConfigurationError} from './configuration-error.js';
+
+export interface StoredRow<T> {
+  /** Version of the table row; 0 while the row does not exist. */
+  rowVersion: number;
+  value: T | undefined;
+}
+
+export async function readStoredRow<T>(
+  table: TableService,
+  key: string,
+  schema: z.ZodType<T>,
+): Promise<Result<StoredRow<T>, PlatformError>> {
+  const row = await table.get(key);
+  if (row.err) return row;
+  return parseStoredRow(row.val, key, schema);
+}
+
+export function parseStoredRow<T>(
+  row: TableRow | undefined,
+  key: string,
+  schema: z.ZodType<T>,
+): Result<StoredRow<T>, PlatformError> {
+  if (!row) return Ok({rowVersion: 0, value: undefined});
+  const parsed = schema.safeParse(row.value);
+  if (parsed.success) return Ok({rowVersion: row.version, value: parsed.data});
+  return Err(platformError('unavailable', `row ${key} is malformed`));
+}
+
+export function readFailure(error: PlatformError): ConfigurationError {
+  return {kind: 'store-unavailable', message: error.message};
+}
+
+export function writeFailure(error: PlatformError): ConfigurationError {
+  if (error.kind === 'unavailable') return readFailure(error);
+  return {kind: 'outcome-unknown', message: error.message};
+}
+
+/**
+ * Times between the reads that resolve a lost answer, in milliseconds. A write
+ * whose answer was lost may still take effect shortly after.
+ */
+export const RESOLVE_DELAYS_MS = [0, 200, 500];
+
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- a/packages/configuration/src/lib/stored-rows.ts
+++ b/packages/configuration/src/lib/stored-rows.ts
@@ -4,23 +4,51 @@
 export const HEAD_KEY = 'config/head';
 export const KEYS_KEY = 'keys/head';
 
+const VERSION_DIGITS = 12;
+
+/** Row that records the outcome of a change by its change id. */
+export function changeKey(changeId: string): string {
+  return `config/change/${changeId}`;
+}
+
+/** Row of one version; padded, so that key order is version order. */
+export function versionKey(version: number): string {
+  return `config/version/${String(version).padStart(VERSION_DIGITS, '0')}`;
+}
+
+const hash = z.string().regex(/^[0-9a-f]{64}$/);
+const count = z.number().int().nonnegative();
+
 export const headSchema = z.object({
-  version: z.number().int().nonnegative(),
+  version: count,
   changeId: z.string(),
-  hash: z.string(),
-  previousHash: z.string(),
+  hash,
+  /** Hash of the version before; empty for the first one. */
+  previousHash: hash.or(z.literal('')),
   objectKey: z.string(),
 });
 export type ConfigurationHead = z.infer<typeof headSchema>;
 
+/** A version with its text, as peers hand it to each other. */
+export const versionedTextSchema = headSchema
+  .pick({version: true, hash: true, previousHash: true})
+  .extend({text: z.string()});
+export type VersionedText = z.infer<typeof versionedTextSchema>;
+
+export const keyIdSchema = z.string().regex(/^[0-9a-f]{16}$/);
+
 export const keyRecordSchema = z.object({
-  keyId: z.string(),
+  keyId: keyIdSchema,
   teamName: z.string(),
-  secretHash: z.string(),
-  withdrawn: z.boolean(),
+  /** SHA-256 of the secret in hexadecimal. */
+  secretHash: hash,
 });
 export type KeyRecord = z.infer<typeof keyRecordSchema>;
 
-export const keysRowSchema = z.object({
+/** Issued keys never change; a withdrawal only adds its id to `withdrawn`. */
+export const keySetSchema = z.object({
+  version: count,
   keys: z.array(keyRecordSchema),
+  withdrawn: z.array(keyIdSchema),
 });
+export type KeySet = z.infer<typeof keySetSchema>;
--- /dev/null
+++ b/packages/configuration/src/test/configuration-repository_test.ts
@@ -0,0 +1,98 @@
+/** Guards against lost, doubled or reverted changes of configuration and keys. */
+import {MemoryObjectStore, MemoryTable} from '@fireflytrack/platform';
+import {expect} from 'earl';
+import {beforeEach, describe, it} from 'node:test';
+import {ConfigurationRepository, KeyRepository} from '../index.js';
+
+const textOf = (name: string) =>
+  `[fleet]\nschema_version = 1\nname = ${name}\nmax_instances = 4\n`;
+
+let table: MemoryTable;
+let repository: ConfigurationRepository;
+let keys: KeyRepository;
+
+beforeEach(() => {
+  table = MemoryTable.create();
+  repository = ConfigurationRepository.create(
+    table,
+    MemoryObjectStore.create(),
+  );
+  keys = KeyRepository.create(table);
+});
+
+function change(name: string, baseVersion: number, changeId = name) {
+  return {text: textOf(name), baseVersion, changeId};
+}
+
+describe('ConfigurationRepository', () => {
+  it('lets one of two racing operators win and shows the version', async () => {
+    const results = await Promise.all([
+      repository.apply(change('a', 0)),
+      repository.apply(change('b', 0)),
+    ]);
+    const lost = results.filter(result => result.err);
+    expect(lost.length).toEqual(1);
+    expect(lost[0]?.val).toEqual({
+      kind: 'conflict',
+      currentVersion: 1,
+      message: 'the current version is 1',
+    });
+  });
+
+  it('gives the first outcome when a change id is repeated', async () => {
+    await repository.apply(change('a', 0));
+    await repository.apply(change('b', 1));
+    const again = await repository.apply(change('a', 0));
+    expect(again.unwrap().version).toEqual(1);
+    const other = await repository.apply(change('c', 2, 'a'));
+    expect(other.err && other.val.kind).toEqual('invalid');
+  });
+
+  it('resolves a lost answer by its change row', async () => {
+    table.lostAnswers = 1;
+    const applied = await repository.apply(change('a', 0));
+    expect(applied.unwrap().version).toEqual(1);
+    const history = await repository.readHistory(5);
+    expect(history.unwrap().map(head => head.changeId)).toEqual(['a']);
+  });
+
+  it('changes nothing while the store is unavailable', async () => {
+    table.unavailable = true;
+    const applied = await repository.apply(change('a', 0));
+    expect(applied.err && applied.val.kind).toEqual('store-unavailable');
+    table.unavailable = false;
+    expect((await repository.readHead()).unwrap()).toEqual(undefined);
+  });
+});
+
+describe('KeyRepository', () => {
+  it('keeps both of two concurrent changes', async () => {
+    await Promise.all([keys.issue('a', 'one'), keys.issue('b', 'two')]);
+    const stored = (await keys.read()).unwrap();
+    expect(stored.keys.map(key => key.teamName).sort()).toEqual(['a', 'b']);
+    expect(stored.version).toEqual(2);
+  });
+
+  it('issues one key although the answer was lost', async () => {
+    table.lostAnswers = 1;
+    const issued = (await keys.issue('a', 'one')).unwrap();
+    const stored = (await keys.read()).unwrap();
+    expect(stored.keys.map(key => key.keyId)).toEqual([issued.keyId]);
+  });
+
+  it('does not issue a second key for a repeated change id', async () => {
+    await keys.issue('a', 'one');
+    const again = await keys.issue('a', 'one');
+    expect(again.err && again.val.kind).toEqual('invalid');
+    expect((await keys.read()).unwrap().keys.length).toEqual(1);
+  });
+
+  it('withdraws once whatever is repeated', async () => {
+    const {keyId} = (await keys.issue('a', 'one')).unwrap();
+    table.lostAnswers = 1;
+    await keys.withdraw([keyId]);
+    const again = (await keys.withdraw([keyId])).unwrap();
+    expect(again.withdrawn).toEqual([keyId]);
+    expect(again.version).toEqual(2);
+  });
+});
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -1,7 +1,9 @@
 /** One process of the fleet: builds the slices and runs them until a stop. */
 import {
+  ConfigurationChanges,
+  ConfigurationDistribution,
   ConfigurationRepository,
-  PollingConfiguration,
+  KeyRepository,
 } from '@fireflytrack/configuration';
 import {
   AdminApi,
@@ -11,8 +13,10 @@
 } from '@fireflytrack/entry';
 import {RandomSelector} from '@fireflytrack/health';
 import {StaticShareLimiter} from '@fireflytrack/limits';
+import {FixedMembership} from '@fireflytrack/membership';
 import {TableOnceRegistry} from '@fireflytrack/once';
 import {
+  HttpInstanceList,
   HttpObjectStore,
   HttpPlatformClient,
   HttpTableService,
@@ -24,6 +28,7 @@
   createLogger,
 } from '@fireflytrack/telemetry';
 import type {Logger, Metrics} from '@fireflytrack/telemetry';
+import {MemoryNetwork} from '@fireflytrack/wire';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
 import type {Settings} from './settings.js';
@@ -34,7 +39,7 @@
   private stopping: Promise<void> | undefined;
   private readonly broker: ServiceBroker;
   private readonly client: HttpPlatformClient;
-  private readonly configuration: PollingConfiguration;
+  private readonly configuration: ConfigurationDistribution;
   private readonly forwarder: Forwarder;
   private readonly requestPath: RequestPath;
   private readonly gateway: EntryGateway;
@@ -55,8 +60,27 @@
     });
     const table = HttpTableService.create(this.client);
     const objects = HttpObjectStore.create(this.client);
+    const identity = {
+      instanceId: instance.id,
+      availabilityZone: instance.availability_zone,
+      region: instance.region,
+    };
+    // No peers yet: each instance knows of itself only and reads the store.
+    const membership = FixedMembership.create(identity, []);
     const repository = ConfigurationRepository.create(table, objects);
-    this.configuration = PollingConfiguration.create(repository, this.logger);
+    const keys = KeyRepository.create(table);
+    const distributionOptions = {
+      repository,
+      keys,
+      network: MemoryNetwork.create().join(identity),
+      membership,
+      evidence: {recordRead: () => undefined, ageMs: () => 0},
+      logger: this.logger,
+      storeRegion: platform.store_region,
+      freshnessLimitMs: settings.freshness.freshness_limit_ms,
+      onIsolation: settings.freshness.on_isolation,
+    };
+    this.configuration = ConfigurationDistribution.create(distributionOptions);
     this.forwarder = Forwarder.create();
     this.requestPath = RequestPath.create({
       source: this.configuration,
@@ -75,11 +99,21 @@
       metrics: false,
       tracing: false,
     });
-    this.gateway = EntryGateway.create(this.broker, this.requestPath, entry);
+    this.gateway = EntryGateway.create(this.broker, this.requestPath, {
+      ...entry,
+      mayServe: () => this.configuration.mayServe(),
+    });
     AdminApi.create(this.broker, {
       ...admin,
       repository,
-      source: this.configuration,
+      keys,
+      changes: ConfigurationChanges.create(
+        this.configuration,
+        distributionOptions,
+      ),
+      distribution: this.configuration,
+      membership,
+      instances: HttpInstanceList.create(this.client),
       dump: this.dump,
       isReady: () => this.isReady(),
       drain: () => void this.stop(),
@@ -121,14 +155,12 @@
   }
 
   private isReady(): boolean {
-    return !this.stopping && this.configuration.current() !== undefined;
+    return !this.stopping && this.configuration.mayServe();
   }
 
   private registerDump(): void {
     this.dump.register('entry', () => ({inFlight: this.requestPath.inFlight}));
-    this.dump.register('configuration', () => ({
-      version: this.configuration.current()?.version ?? 0,
-    }));
+    this.dump.register('configuration', () => this.configuration.status());
   }
 }
 
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -29,6 +29,17 @@
     timeout_ms: z.coerce.number().int().min(10).max(60_000).default(1000),
     store_region: z.string().min(1),
   }),
+  freshness: z
+    .strictObject({
+      freshness_limit_ms: z.coerce
+        .number()
+        .int()
+        .min(1000)
+        .max(60_000)
+        .default(4000),
+      on_isolation: z.enum(['refuse', 'serve']).default('refuse'),
+    })
+    .prefault({}),
   log: z
     .strictObject({
       level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
@@ -48,7 +59,7 @@
     .prefault({}),
 };
 
-const settingsSchema = z.strictObject(sections);
+export const settingsSchema = z.strictObject(sections);
 export type Settings = z.infer<typeof settingsSchema>;
 
 /** Checks a settings text; the first error is returned. */
--- /dev/null
+++ b/packages/entry/src/lib/admin-instance.ts
@@ -0,0 +1,48 @@
+/** Operations of the administration API on this instance and the fleet. */
+import type {ConfigurationDistribution} from '@fireflytrack/configuration';
+import type {Membership} from '@fireflytrack/membership';
+import type {InstanceList} from '@fireflytrack/platform';
+import type {StateDump} from '@fireflytrack/telemetry';
+import {readError} from './admin-answer.js';
+import type {AdminAnswer, AdminHandlers} from './admin-answer.js';
+
+export interface AdminInstanceOptions {
+  distribution: ConfigurationDistribution;
+  membership: Membership;
+  instances: InstanceList;
+  dump: StateDump;
+  /** Starts a planned stop. */
+  drain(): void;
+}
+
+export function instanceHandlers(options: AdminInstanceOptions): AdminHandlers {
+  return {
+    'GET /v1/status': () => showStatus(options),
+    'GET /v1/instances': async () => {
+      const listed = await options.instances.list();
+      if (listed.err) return readError(listed.val);
+      return {status: 200, body: {instances: listed.val}};
+    },
+    'GET /v1/dump': () => ({status: 200, body: options.dump.collect()}),
+    'POST /v1/drain': () => {
+      options.drain();
+      return {status: 202, body: {draining: true}};
+    },
+  };
+}
+
+function showStatus(options: AdminInstanceOptions): AdminAnswer {
+  const {distribution, membership} = options;
+  const peers = membership.others().map(member => {
+    const {instanceId, availabilityZone, region} = member.identity;
+    const {listed, reachable, leaving} = member;
+    const holdings = distribution.peerHoldings.get(instanceId);
+    const configurationVersion = holdings?.configurationVersion;
+    const place = {instanceId, availabilityZone, region};
+    return {...place, listed, reachable, leaving, configurationVersion};
+  });
+  const {withdrawnDigest, ...status} = distribution.status();
+  const {instanceId, availabilityZone, region} = membership.self;
+  const place = {instanceId, availabilityZone, region};
+  return {status: 200, body: {...place, ...status, withdrawnDigest, peers}};
+}
--- /dev/null
+++ b/packages/entry/src/lib/admin-keys.ts
@@ -0,0 +1,54 @@
+/** Operations of the administration API on team keys. */
+import type {
+  ConfigurationChanges,
+  ConfigurationDistribution,
+  KeyRepository,
+} from '@fireflytrack/configuration';
+import {randomUUID} from 'node:crypto';
+import {z} from 'zod';
+import {changeAnswer} from './admin-answer.js';
+import type {AdminAnswer, AdminHandlers} from './admin-answer.js';
+
+export interface AdminKeysOptions {
+  keys: KeyRepository;
+  changes: ConfigurationChanges;
+  distribution: ConfigurationDistribution;
+}
+
+const issueSchema = z.object({
+  team: z.string().min(1),
+  changeId: z.string().min(1).max(128).optional(),
+});
+const withdrawSchema = z.object({keyId: z.string()});
+
+export function keyHandlers(options: AdminKeysOptions): AdminHandlers {
+  return {
+    'GET /v1/keys': () => listKeys(options),
+    'POST /v1/keys': async request => {
+      const {team, changeId} = issueSchema.parse(request.body);
+      const id = changeId ?? randomUUID();
+      return changeAnswer(await options.changes.issueKey(team, id));
+    },
+    'POST /v1/keys/:keyId/withdraw': async request => {
+      const {keyId} = withdrawSchema.parse(request.$params);
+      return changeAnswer(await options.changes.withdrawKey(keyId));
+    },
+  };
+}
+
+/** Keys of the store, or those known here while the store does not answer. */
+async function listKeys(options: AdminKeysOptions): Promise<AdminAnswer> {
+  const stored = await options.keys.read();
+  const known = options.distribution.held.keySet();
+  const {keys} = stored.ok ? stored.val : known;
+  const withdrawn = new Set(known.withdrawn);
+  for (const keyId of stored.ok ? stored.val.withdrawn : []) {
+    withdrawn.add(keyId);
+  }
+  const body = keys.map(({keyId, teamName}) => ({
+    keyId,
+    team: teamName,
+    withdrawn: withdrawn.has(keyId),
+  }));
+  return {status: 200, body: {keys: body, fromStore: stored.ok}};
+}
--- a/packages/entry/src/lib/entry-gateway.ts
+++ b/packages/entry/src/lib/entry-gateway.ts
@@ -1,18 +1,23 @@
 /** The HTTP server towards callers, by moleculer-web. */
+import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ServiceBroker} from 'moleculer';
 import ApiGateway from 'moleculer-web';
+import {sendRefusal} from './refusal.js';
 import type {RequestPath} from './request-path.js';
 
 export interface EntryGatewayOptions {
   host: string;
   port: number;
+  /** Whether what this instance knows is fresh enough to serve by. */
+  mayServe(): boolean;
 }
 
 // A caller that has not sent its whole head or request by then is cut off, so
 // that slow senders do not hold connections.
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
+const NOT_FRESH_RETRY_AFTER_MS = 1000;
 
 interface GatewayService {
   server: Server;
@@ -22,7 +27,10 @@
   private service: GatewayService | undefined;
   private stopping = false;
 
-  private constructor(private readonly requestPath: RequestPath) {}
+  private constructor(
+    private readonly requestPath: RequestPath,
+    private readonly options: EntryGatewayOptions,
+  ) {}
 
   /** Registers the gateway with `broker`; it listens once the broker starts. */
   static create(
@@ -30,7 +38,7 @@
     requestPath: RequestPath,
     options: EntryGatewayOptions,
   ): EntryGateway {
-    const gateway = new EntryGateway(requestPath);
+    const gateway = new EntryGateway(requestPath, options);
     const service = broker.createService({
       name: 'entry',
       mixins: [ApiGateway],
@@ -66,11 +74,19 @@
     this.service?.server.closeIdleConnections();
   }
 
-  private handle(
+  private async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     if (this.stopping) response.setHeader('connection', 'close');
+    if (!this.options.mayServe()) {
+      sendRefusal(response, randomUUID(), {
+        code: 'not_fresh',
+        message: 'this instance may hold an old configuration',
+        retryAfterMs: NOT_FRESH_RETRY_AFTER_MS,
+      });
+      return;
+    }
     return this.requestPath.handle(request, response);
   }
 }
--- a/packages/membership/src/lib/membership.ts
+++ b/packages/membership/src/lib/membership.ts
@@ -26,8 +26,12 @@
 
 /** How recently the store's state is known here, without comparing clocks. */
 export interface FreshnessEvidence {
-  /** Tells the result of this instance's own read of the store. */
-  recordRead(succeeded: boolean): void;
+  /**
+   * Tells the result of this instance's own read of the store. `sentAtMs` is
+   * the monotonic time at which the read was sent: the evidence counts from
+   * then, because the answer may be late.
+   */
+  recordRead(succeeded: boolean, sentAtMs?: number): void;
   /** Upper bound of the age of the newest evidence; infinite without any. */
   ageMs(): number;
 }
