--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -1,7 +1,9 @@
 /** One process of the fleet: builds the slices and runs them until a stop. */
 import {
+  ConfigurationChanges,
+  ConfigurationDistribution,
   ConfigurationRepository,
-  PollingConfiguration,
+  KeyRepository,
 } from '@fireflytrack/configuration';
 import {
   AdminApi,
@@ -45,14 +47,14 @@
   private readonly client: HttpPlatformClient;
   private readonly network: TcpPeerNetwork;
   private readonly membership: PeerMembership;
-  private readonly configuration: PollingConfiguration;
+  private readonly configuration: ConfigurationDistribution;
   private readonly gate: FreshnessGate;
   private readonly forwarder = Forwarder.create();
   private readonly requestPath: RequestPath;
   private readonly gateway: EntryGateway;
 
   private constructor(private readonly settings: Settings) {
-    const {instance, entry, admin, platform, serving} = settings;
+    const {instance, entry, admin, platform, freshness} = settings;
     this.logger = createLogger({
       level: settings.log.level,
       fields: {instance: instance.id, zone: instance.availability_zone},
@@ -65,23 +67,28 @@
     const table = HttpTableService.create(this.client);
     const objects = HttpObjectStore.create(this.client);
     this.network = createNetwork(settings, this.logger);
+    const instances = HttpInstanceList.create(this.client);
     this.membership = PeerMembership.create({
       network: this.network,
-      list: HttpInstanceList.create(this.client),
+      list: instances,
       storeRegion: platform.store_region,
       logger: this.logger,
     });
-    this.gate = FreshnessGate.create({
-      evidence: this.membership,
-      freshnessLimitMs: serving.freshness_limit_ms,
-      onIsolation: serving.on_isolation,
-    });
     const repository = ConfigurationRepository.create(table, objects);
-    this.configuration = PollingConfiguration.create(
+    const keys = KeyRepository.create(table);
+    const distribution = {
       repository,
-      this.membership,
-      this.logger,
-    );
+      keys,
+      network: this.network,
+      membership: this.membership,
+      evidence: this.membership,
+      logger: this.logger,
+      storeRegion: platform.store_region,
+      freshnessLimitMs: freshness.freshness_limit_ms,
+      onIsolation: freshness.on_isolation,
+    };
+    this.configuration = ConfigurationDistribution.create(distribution);
+    this.gate = FreshnessGate.create(this.configuration);
     this.requestPath = RequestPath.create({
       source: this.configuration,
       keys: this.configuration,
@@ -100,7 +107,11 @@
     AdminApi.create(this.broker, {
       ...admin,
       repository,
-      source: this.configuration,
+      keys,
+      changes: ConfigurationChanges.create(this.configuration, distribution),
+      distribution: this.configuration,
+      membership: this.membership,
+      instances,
       dump: this.dump,
       isReady: () => this.isReady(),
       drain: () => void this.stop(),
@@ -159,8 +170,7 @@
   }
 
   private isReady(): boolean {
-    const known = this.configuration.current() !== undefined;
-    return !this.stopping && known && this.gate.state() === 'serving';
+    return !this.stopping && this.gate.state() === 'serving';
   }
 
   private registerDump(): void {
@@ -168,9 +178,7 @@
       requestsInFlight: this.requestPath.requestsInFlight,
       serving: this.gate.state(),
     }));
-    this.dump.register('configuration', () => ({
-      version: this.configuration.current()?.version ?? 0,
-    }));
+    this.dump.register('configuration', () => this.configuration.status());
     this.dump.register('membership', () => this.membership.state());
     this.dump.register('wire', () => ({
       peers: this.network.peers(),
--- a/packages/daemon/src/lib/freshness-gate.ts
+++ b/packages/daemon/src/lib/freshness-gate.ts
@@ -2,34 +2,29 @@
  * Decides whether this instance may serve: not when it is cut off for so long
  * that a key withdrawn elsewhere may be unknown here.
  */
+import type {ConfigurationDistribution} from '@fireflytrack/configuration';
 import type {ServingGate, ServingState} from '@fireflytrack/entry';
-import type {FreshnessEvidence} from '@fireflytrack/membership';
-
-export interface FreshnessGateOptions {
-  evidence: FreshnessEvidence;
-  freshnessLimitMs: number;
-  /** `serve` prefers answers over the promise that withdrawals hold. */
-  onIsolation: 'refuse' | 'serve';
-}
 
 export class FreshnessGate implements ServingGate {
-  private stopped = false;
+  private closed = false;
 
-  private constructor(private readonly options: FreshnessGateOptions) {}
+  private constructor(
+    private readonly distribution: Pick<ConfigurationDistribution, 'mayServe'>,
+  ) {}
 
-  static create(options: FreshnessGateOptions): FreshnessGate {
-    return new FreshnessGate(options);
+  static create(
+    distribution: Pick<ConfigurationDistribution, 'mayServe'>,
+  ): FreshnessGate {
+    return new FreshnessGate(distribution);
   }
 
   state(): ServingState {
-    if (this.stopped) return 'stopping';
-    const {evidence, freshnessLimitMs, onIsolation} = this.options;
-    if (onIsolation === 'serve') return 'serving';
-    return evidence.ageMs() <= freshnessLimitMs ? 'serving' : 'not-fresh';
+    if (this.closed) return 'stopping';
+    return this.distribution.mayServe() ? 'serving' : 'not-fresh';
   }
 
   /** Refuses every request from now on. */
   close(): void {
-    this.stopped = true;
+    this.closed = true;
   }
 }
