Select servers by pooled evidence with a capacity floor

Cause: the random selector ejects by itself after three 5xx answers; it is blind to slow servers and can withdraw a whole service. Change: PooledSelector counts per 200 ms period, tells all peers in one positional frame, judges pooled counts by a sequential test on faults and a latency test, keeps the floor at each ejection, readmits by one prober per region with a ramp, and balances by two choices.

--- /dev/null
+++ b/packages/health/src/lib/http-probe.ts
@@ -0,0 +1,31 @@
+/** The probe of the backend server protocol: `GET /health`. */
+import {request} from 'undici';
+import {z} from 'zod';
+import type {BackendServer} from '@fireflytrack/configuration';
+import type {Probe, ProbeResult} from './probe.js';
+
+const PROBE_TIMEOUT_MS = 1000;
+
+const healthSchema = z.object({state: z.enum(['up', 'cold', 'draining'])});
+
+export function createHttpProbe(): Probe {
+  return async server => {
+    try {
+      return await askHealth(server);
+    } catch {
+      return 'failed';
+    }
+  };
+}
+
+async function askHealth(server: BackendServer): Promise<ProbeResult> {
+  const host = server.host.includes(':') ? `[${server.host}]` : server.host;
+  const answer = await request(`http://${host}:${server.port}/health`, {
+    signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+    // Probes are rare; an idle connection would count against the server's.
+    reset: true,
+  });
+  const body: unknown = await answer.body.json();
+  if (answer.statusCode !== 200) return 'failed';
+  return healthSchema.parse(body).state;
+}
--- /dev/null
+++ b/packages/health/src/lib/latency-baseline.ts
@@ -0,0 +1,50 @@
+/**
+ * The usual latency of a service as this instance sees it.
+ *
+ * A server is compared with the others of its region: the way to another
+ * region may be slow without any fault of the servers there.
+ */
+
+interface Sample {
+  atMs: number;
+  latencyMs: number;
+}
+
+const SAMPLES_PER_SERVER = 8;
+const SAMPLE_LIFETIME_MS = 4000;
+const MIN_SAMPLES = 3;
+
+export class LatencyBaseline {
+  private readonly samples = new Map<string, Sample[]>();
+
+  static create(): LatencyBaseline {
+    return new LatencyBaseline();
+  }
+
+  record(serverId: string, latencyMs: number): void {
+    let samples = this.samples.get(serverId);
+    if (!samples) this.samples.set(serverId, (samples = []));
+    if (samples.length >= SAMPLES_PER_SERVER) samples.shift();
+    samples.push({atMs: performance.now(), latencyMs});
+  }
+
+  retain(serverIds: ReadonlySet<string>): void {
+    for (const id of this.samples.keys()) {
+      if (!serverIds.has(id)) this.samples.delete(id);
+    }
+  }
+
+  /** Median over `serverIds`, or undefined with too few recent samples. */
+  medianMs(serverIds: readonly string[]): number | undefined {
+    const oldestMs = performance.now() - SAMPLE_LIFETIME_MS;
+    const latencies: number[] = [];
+    for (const id of serverIds) {
+      for (const sample of this.samples.get(id) ?? []) {
+        if (sample.atMs >= oldestMs) latencies.push(sample.latencyMs);
+      }
+    }
+    if (latencies.length < MIN_SAMPLES) return undefined;
+    latencies.sort((a, b) => a - b);
+    return latencies[latencies.length >> 1];
+  }
+}
--- /dev/null
+++ b/packages/health/src/lib/pacer.ts
@@ -0,0 +1,17 @@
+/** Repeated work of a selector; proofs replace it to pause one instance. */
+
+export interface Pacer {
+  /** Runs `action` about every `intervalMs` until the result is called. */
+  every(intervalMs: number, action: () => void): () => void;
+}
+
+export class TimerPacer implements Pacer {
+  static create(): TimerPacer {
+    return new TimerPacer();
+  }
+
+  every(intervalMs: number, action: () => void): () => void {
+    const timer = setInterval(action, intervalMs);
+    return () => clearInterval(timer);
+  }
+}
--- /dev/null
+++ b/packages/health/src/lib/readmission.ts
@@ -0,0 +1,42 @@
+/** When a server may come back, and who sends the probe. */
+import {rankByRendezvous} from '@fireflytrack/membership';
+import type {ServerHealth} from './server-health.js';
+
+const FIRST_BACKOFF_MS = 5000;
+const LONGEST_BACKOFF_MS = 300_000;
+const REPEAT_WINDOW_MS = 600_000;
+
+/** Wait after the given ejection, counted from 1. */
+export function backoffMs(ejections: number): number {
+  const doubled = FIRST_BACKOFF_MS * 2 ** Math.max(0, ejections - 1);
+  return Math.min(LONGEST_BACKOFF_MS, doubled);
+}
+
+/** Counts an ejection, or a failed probe, and sets the next attempt. */
+export function delayReadmission(server: ServerHealth): void {
+  const nowMs = performance.now();
+  const isRepeat = nowMs - server.lastEjectedAtMs < REPEAT_WINDOW_MS;
+  server.ejections = isRepeat ? server.ejections + 1 : 1;
+  server.lastEjectedAtMs = nowMs;
+  server.readmitAtMs = nowMs + backoffMs(server.ejections);
+}
+
+/** A draining server is asked at a fixed pace: leaving is not a fault. */
+export function delayDrainCheck(server: ServerHealth): void {
+  server.readmitAtMs = performance.now() + FIRST_BACKOFF_MS;
+}
+
+/**
+ * Whether `selfId` sends the probe: the first, by rendezvous choice, of the
+ * instances of its region that keep the server out.
+ */
+export function isProber(
+  serverId: string,
+  selfId: string,
+  othersKeepingOut: readonly string[],
+): boolean {
+  if (othersKeepingOut.length === 0) return true;
+  return (
+    rankByRendezvous(serverId, [selfId, ...othersKeepingOut])[0] === selfId
+  );
+}
--- /dev/null
+++ b/packages/health/src/lib/return-policy.ts
@@ -0,0 +1,104 @@
+/**
+ * Brings servers of a service back, and follows the peers of this region.
+ *
+ * One instance per server and region sends the probe; the others of the region
+ * follow it when its frames say `readmitted`. If it ends or cannot tell, the
+ * next one by rendezvous choice finds itself to be the prober.
+ */
+import type {Logger} from '@fireflytrack/telemetry';
+import type {Probe, ProbeResult} from './probe.js';
+import {delayDrainCheck, delayReadmission, isProber} from './readmission.js';
+import type {ServerHealth} from './server-health.js';
+import type {ServiceHealth} from './service-health.js';
+
+export interface ReturnPolicyOptions {
+  probe: Probe;
+  logger: Logger;
+}
+
+const MIN_TELLERS_OF_EJECTION = 3;
+// One peer may be wrong or lying about a draining server.
+const MIN_TELLERS_OF_DRAINING = 2;
+
+export class ReturnPolicy {
+  private constructor(private readonly options: ReturnPolicyOptions) {}
+
+  static create(options: ReturnPolicyOptions): ReturnPolicy {
+    return new ReturnPolicy(options);
+  }
+
+  /** To be called once a period. */
+  apply(health: ServiceHealth, liveInstances: number): void {
+    for (const server of health.servers.values()) {
+      if (server.isOut()) this.considerReturn(health, server);
+      else this.followPeers(health, server, liveInstances);
+    }
+  }
+
+  private considerReturn(health: ServiceHealth, server: ServerHealth): void {
+    if (server.probeResult) {
+      applyProbe(health, server, server.probeResult);
+      server.probeResult = undefined;
+      return;
+    }
+    if (performance.now() < server.readmitAtMs || server.probing) return;
+    const {selfId, region} = health.options;
+    const {serverId} = server;
+    const {reports, rotation} = health;
+    const leaders = reports.tellersOf(serverId, ['readmitted'], region);
+    if (leaders.length > 0) {
+      rotation.readmit(server, 'readmitted');
+      return;
+    }
+    const states = ['ejected', 'draining', 'held-out'] as const;
+    const others = reports.tellersOf(serverId, states, region);
+    const otherIds = others.map(teller => teller.peerId);
+    if (isProber(serverId, selfId, otherIds)) void this.ask(server);
+  }
+
+  /** The service may be rebuilt meanwhile, so the next period acts on it. */
+  private async ask(server: ServerHealth): Promise<void> {
+    server.probing = true;
+    const result = await this.options.probe(server.server);
+    server.probing = false;
+    server.probeResult = result;
+    this.options.logger.debug('probe', {server: server.serverId, result});
+  }
+
+  /** Lets a new instance learn what the others of its region took out. */
+  private followPeers(
+    health: ServiceHealth,
+    server: ServerHealth,
+    liveInstances: number,
+  ): void {
+    // A server that just came back here may still be out at others.
+    if (server.ramp) return;
+    const {serverId} = server;
+    const {reports, rotation} = health;
+    const draining = reports.tellersOf(serverId, ['draining']);
+    const needed = Math.min(MIN_TELLERS_OF_DRAINING, liveInstances - 1);
+    if (draining.length > 0 && draining.length >= needed) {
+      rotation.holdOut(server);
+      return;
+    }
+    const {region} = health.options;
+    const ejecting = reports.tellersOf(serverId, ['ejected'], region);
+    if (ejecting.length < MIN_TELLERS_OF_EJECTION) return;
+    if (ejecting.length <= reports.peersIn(region) / 2) return;
+    if (!rotation.eject(server, 1, 'told-by-peers')) return;
+    const told = ejecting.map(teller => teller.ejections);
+    server.ejections = Math.max(server.ejections, ...told);
+  }
+}
+
+function applyProbe(
+  health: ServiceHealth,
+  server: ServerHealth,
+  result: ProbeResult,
+): void {
+  if (result === 'up') health.rotation.readmit(server, 'readmitted');
+  else if (result === 'cold') health.rotation.readmit(server, 'new');
+  else if (result === 'draining') health.rotation.drain(server);
+  else if (server.phase === 'draining') delayDrainCheck(server);
+  else delayReadmission(server);
+}
--- /dev/null
+++ b/packages/health/src/lib/server-health.ts
@@ -0,0 +1,78 @@
+/** All that an instance knows about one backend server of a service. */
+import type {BackendServer} from '@fireflytrack/configuration';
+import {EvidencePool} from './evidence-pool.js';
+import type {ToldState} from './evidence-frame.js';
+import {PathHealth} from './path-health.js';
+import {noCounts} from './period-counts.js';
+import type {PeriodCounts} from './period-counts.js';
+import type {ProbeResult} from './probe.js';
+import {rampWeight} from './ramp.js';
+import type {Ramp} from './ramp.js';
+
+/**
+ * `avoided`: not used by this instance for a while, because of its own faults
+ * only. `draining`: the server is leaving by its own word.
+ */
+export type Phase = 'in-rotation' | 'ejected' | 'avoided' | 'draining';
+
+/** A request of this instance that the server has not answered yet. */
+export interface InFlight {
+  startedAtMs: number;
+  /** It counted as overdue; its answer is no second latency sample. */
+  countedOverdue: boolean;
+}
+
+export class ServerHealth {
+  phase: Phase = 'in-rotation';
+  ramp: Ramp | undefined;
+  /** The server told this instance itself that it drains. */
+  drainWitnessed = false;
+  /** How bad it looked when it was taken out. */
+  badness = 0;
+  ejections = 0;
+  lastEjectedAtMs = -Infinity;
+  /** From when on a probe may bring it back. */
+  readmitAtMs = 0;
+  probing = false;
+  /** Answer of the last probe, until the next period acts on it. */
+  probeResult: ProbeResult | undefined;
+  peerOutstanding = 0;
+  counts: PeriodCounts = noCounts();
+  readonly inFlight = new Set<InFlight>();
+  readonly pool = EvidencePool.create();
+  readonly path = PathHealth.create();
+
+  private constructor(
+    readonly server: BackendServer,
+    readonly slots: number,
+  ) {}
+
+  static create(server: BackendServer, slots: number): ServerHealth {
+    return new ServerHealth(server, slots);
+  }
+
+  get serverId(): string {
+    return this.server.serverId;
+  }
+
+  weight(nowMs: number): number {
+    return rampWeight(this.ramp, nowMs);
+  }
+
+  /** Slots x ramp weight in rotation, else 0. */
+  capacitySlots(nowMs: number): number {
+    return this.phase === 'in-rotation' ? this.slots * this.weight(nowMs) : 0;
+  }
+
+  isOut(): boolean {
+    return this.phase === 'ejected' || this.phase === 'draining';
+  }
+
+  toldState(): ToldState {
+    if (this.phase === 'ejected') return 'ejected';
+    if (this.phase === 'draining') {
+      return this.drainWitnessed ? 'draining' : 'held-out';
+    }
+    return this.ramp?.kind === 'readmitted' ? 'readmitted' : 'in-rotation';
+  }
+}
--- /dev/null
+++ b/packages/health/src/lib/service-health.ts
@@ -0,0 +1,284 @@
+/** The health of one service's servers as one instance judges it. */
+import {isDeepStrictEqual} from 'node:util';
+import type {Service} from '@fireflytrack/configuration';
+import {pickOfTwo} from './balancer.js';
+import type {EvidenceEntry} from './evidence-frame.js';
+import {serverListDigest} from './evidence-frame.js';
+import {LatencyBaseline} from './latency-baseline.js';
+import {slowFactor} from './latency-test.js';
+import {isOverload} from './overload.js';
+import {PeerReports} from './peer-reports.js';
+import {noCounts} from './period-counts.js';
+import {RAMP_MS} from './ramp.js';
+import {Rotation} from './rotation.js';
+import type {HealthTransition} from './rotation.js';
+import {ServerHealth} from './server-health.js';
+import type {InFlight} from './server-health.js';
+import type {ServerOutcome} from './server-selector.js';
+import {judge} from './verdict.js';
+
+export interface ServiceHealthOptions {
+  service: Service;
+  /** Servers that were known before, by id; others ramp if `rampsNew`. */
+  known: ReadonlyMap<string, ServerHealth>;
+  rampsNew: boolean;
+  maxInstances: number;
+  /** This instance. */
+  selfId: string;
+  region: string;
+  regionOfZone(availabilityZone: string): string;
+  random(): number;
+  onTransition(transition: HealthTransition): void;
+}
+
+const DEFAULT_LATENCY_MS = 20;
+
+export class ServiceHealth {
+  readonly servers: ReadonlyMap<string, ServerHealth>;
+  readonly sortedIds: readonly string[];
+  readonly digest: number;
+  readonly rotation: Rotation;
+  readonly reports: PeerReports;
+  private readonly baseline = LatencyBaseline.create();
+  /** Median latency of the servers comparable with each one. */
+  private readonly medianMs = new Map<string, number | undefined>();
+  private usualLatencyMs = DEFAULT_LATENCY_MS;
+
+  private constructor(readonly options: ServiceHealthOptions) {
+    const {service, maxInstances} = options;
+    this.servers = createServers(options);
+    this.sortedIds = [...this.servers.keys()].sort();
+    this.digest = serverListDigest(this.sortedIds);
+    this.rotation = Rotation.create({
+      serviceName: service.name,
+      capacityFloor: service.capacityFloor,
+      servers: [...this.servers.values()],
+      onTransition: options.onTransition,
+    });
+    const share = Math.ceil(service.connectionsPerServer / maxInstances);
+    this.reports = PeerReports.create(this.servers, share);
+  }
+
+  static create(options: ServiceHealthOptions): ServiceHealth {
+    return new ServiceHealth(options);
+  }
+
+  /** Whether nothing changed for this service, so that it can stay. */
+  isFor(service: Service, maxInstances: number): boolean {
+    return (
+      this.options.maxInstances === maxInstances &&
+      isDeepStrictEqual(this.options.service, service)
+    );
+  }
+
+  pick(excluded: ReadonlySet<string>): ServerHealth | undefined {
+    let usable = this.rotation.usable();
+    if (excluded.size > 0) {
+      usable = usable.filter(one => !excluded.has(one.serverId));
+    }
+    return pickOfTwo(usable, {
+      random: this.options.random,
+      usualLatencyMs: this.usualLatencyMs,
+    });
+  }
+
+  begin(server: ServerHealth): InFlight {
+    const attempt = {startedAtMs: performance.now(), countedOverdue: false};
+    server.inFlight.add(attempt);
+    return attempt;
+  }
+
+  settle(
+    server: ServerHealth,
+    attempt: InFlight,
+    outcome: ServerOutcome,
+  ): void {
+    server.inFlight.delete(attempt);
+    // Removed by a new configuration.
+    if (this.servers.get(server.serverId) !== server) return;
+    const {counts} = server;
+    if (outcome.kind === 'draining') this.rotation.drain(server);
+    if (outcome.kind === 'shed') {
+      counts.shed += 1;
+      server.path.recordShed();
+    }
+    if (outcome.kind === 'ok' || outcome.kind === 'caller-error') {
+      counts.successes += 1;
+      server.path.record('ok');
+    }
+    if (outcome.kind === 'fault' || outcome.kind === 'invalid') {
+      counts[outcome.kind === 'fault' ? 'faults' : 'failedChecks'] += 1;
+      server.path.record('fault');
+      this.considerAvoidance(server);
+    }
+    // Refusals and errors of the caller often answer before the usual work.
+    if (outcome.kind === 'ok' || outcome.kind === 'invalid') {
+      this.recordLatency(server, attempt, outcome.latencyMs);
+    }
+  }
+
+  /** Ends a period: returns what peers are told, without idle servers. */
+  closePeriod(stalled: boolean): EvidenceEntry[] {
+    const {selfId, region} = this.options;
+    const entries: EvidenceEntry[] = [];
+    this.updateMedians();
+    this.sortedIds.forEach((serverId, index) => {
+      const server = this.servers.get(serverId)!;
+      if (!stalled) {
+        this.countOverdue(server);
+        server.pool.add(selfId, region, server.counts);
+      }
+      const entry = {
+        index,
+        state: server.toldState(),
+        ejections: server.ejections,
+        outstanding: server.inFlight.size,
+        counts: stalled ? noCounts() : server.counts,
+      };
+      entries.push(entry);
+      server.counts = noCounts();
+      server.path.closePeriod(this.medianMs.get(serverId));
+      this.advance(server);
+    });
+    this.reports.expire();
+    return entries;
+  }
+
+  receive(
+    peerId: string,
+    region: string,
+    entries: readonly EvidenceEntry[],
+  ): void {
+    const byId = new Map<string, EvidenceEntry>();
+    for (const entry of entries) {
+      const serverId = this.sortedIds[entry.index];
+      const server = serverId ? this.servers.get(serverId) : undefined;
+      if (!server || !serverId) continue;
+      byId.set(serverId, entry);
+      server.pool.add(peerId, region, entry.counts);
+    }
+    this.reports.receive(peerId, region, byId);
+  }
+
+  /** Ejects what pooled evidence shows to be bad, the worst first. */
+  evaluate(liveInstances: number): void {
+    const candidates = [];
+    for (const server of this.servers.values()) {
+      if (server.isOut()) continue;
+      const verdict = judge(server.pool, {
+        liveInstances,
+        halved: server.ramp?.kind === 'readmitted',
+        judgesLatency: server.ramp?.kind !== 'new',
+      });
+      if (verdict) candidates.push({server, verdict});
+    }
+    if (candidates.length === 0) return;
+    const pools = this.rotation.usable().map(server => server.pool);
+    candidates.sort((a, b) => b.verdict.badness - a.verdict.badness);
+    for (const {server, verdict} of candidates) {
+      if (isOverload(pools, verdict.firstPeriod)) continue;
+      this.rotation.eject(server, verdict.badness, verdict.reason);
+    }
+  }
+
+  outstandingHere(): number {
+    let sum = 0;
+    for (const server of this.rotation.usable()) sum += server.inFlight.size;
+    return sum;
+  }
+
+  outstandingAtPeers(): number {
+    let sum = 0;
+    for (const server of this.rotation.usable()) sum += server.peerOutstanding;
+    return sum;
+  }
+
+  private advance(server: ServerHealth): void {
+    const nowMs = performance.now();
+    const {ramp, phase, path} = server;
+    if (ramp && nowMs - ramp.startedAtMs >= RAMP_MS) server.ramp = undefined;
+    if (phase === 'avoided' && nowMs >= path.avoidedUntilMs) {
+      this.rotation.endAvoidance(server);
+    }
+  }
+
+  /** Local avoidance, unless most servers fail here: then it is this path. */
+  private considerAvoidance(server: ServerHealth): void {
+    if (!server.path.shouldAvoid()) return;
+    const usable = this.rotation.usable();
+    const suspects = usable.filter(one => one.path.isSuspect());
+    if (suspects.length > usable.length / 2) return;
+    this.rotation.avoid(server);
+  }
+
+  private recordLatency(
+    server: ServerHealth,
+    attempt: InFlight,
+    latencyMs: number,
+  ): void {
+    server.path.recordLatency(latencyMs);
+    this.baseline.record(server.serverId, latencyMs);
+    const medianMs = this.medianMs.get(server.serverId);
+    if (medianMs === undefined || attempt.countedOverdue) return;
+    server.counts.latencySamples += 1;
+    if (latencyMs > medianMs * factorOf(server)) server.counts.slowSamples += 1;
+  }
+
+  private countOverdue(server: ServerHealth): void {
+    const medianMs = this.medianMs.get(server.serverId);
+    if (medianMs === undefined) return;
+    const latestStartMs = performance.now() - medianMs * factorOf(server);
+    for (const attempt of server.inFlight) {
+      if (attempt.countedOverdue || attempt.startedAtMs >= latestStartMs) {
+        continue;
+      }
+      attempt.countedOverdue = true;
+      server.counts.overdue += 1;
+    }
+  }
+
+  private updateMedians(): void {
+    const all = this.rotation.usable();
+    const usualMs = this.baseline.medianMs(all.map(one => one.serverId));
+    this.usualLatencyMs = usualMs ?? this.usualLatencyMs;
+    for (const [serverId, {server}] of this.servers) {
+      const region = this.regionOf(server.availabilityZone);
+      const others = all.filter(one => one.serverId !== serverId);
+      const near = others.filter(
+        one => this.regionOf(one.server.availabilityZone) === region,
+      );
+      const compared = near.length > 0 ? near : others;
+      const ids = compared.map(one => one.serverId);
+      this.medianMs.set(serverId, this.baseline.medianMs(ids));
+    }
+  }
+
+  private regionOf(availabilityZone: string): string {
+    return this.options.regionOfZone(availabilityZone);
+  }
+}
+
+function factorOf(server: ServerHealth): number {
+  return slowFactor(server.ramp?.kind === 'readmitted');
+}
+
+function createServers(
+  options: ServiceHealthOptions,
+): Map<string, ServerHealth> {
+  const {service, known, rampsNew} = options;
+  const servers = new Map<string, ServerHealth>();
+  for (const server of service.servers) {
+    const before = known.get(server.serverId);
+    const health =
+      before?.slots === service.slotsPerServer
+        ? before
+        : ServerHealth.create(server, service.slotsPerServer);
+    if (!before && rampsNew) {
+      health.ramp = {kind: 'new', startedAtMs: performance.now()};
+    }
+    // Outstanding requests of peers are summed anew from their next frames.
+    health.peerOutstanding = 0;
+    servers.set(server.serverId, health);
+  }
+  return servers;
+}
--- /dev/null
+++ b/packages/health/src/lib/service-state.ts
@@ -0,0 +1,43 @@
+/** A service's health as plain data, for the state dump and checkers. */
+import type {ServerHealth} from './server-health.js';
+import type {Phase} from './server-health.js';
+import type {ServiceHealth} from './service-health.js';
+
+export interface ServerState {
+  serverId: string;
+  phase: Phase;
+  slots: number;
+  /** From 0.1 to 1. */
+  rampWeight: number;
+  outstandingHere: number;
+  outstandingAtPeers: number;
+  ejections: number;
+  /** Time until a probe may bring it back; 0 in rotation. */
+  readmitInMs: number;
+}
+
+export interface ServiceState {
+  serviceName: string;
+  capacityFloor: number;
+  servers: ServerState[];
+}
+
+export function describeService(health: ServiceHealth): ServiceState {
+  const {name, capacityFloor} = health.options.service;
+  const servers = [...health.servers.values()].map(describeServer);
+  return {serviceName: name, capacityFloor, servers};
+}
+
+function describeServer(server: ServerHealth): ServerState {
+  const nowMs = performance.now();
+  return {
+    serverId: server.serverId,
+    phase: server.phase,
+    slots: server.slots,
+    rampWeight: server.weight(nowMs),
+    outstandingHere: server.inFlight.size,
+    outstandingAtPeers: server.peerOutstanding,
+    ejections: server.ejections,
+    readmitInMs: server.isOut() ? Math.max(0, server.readmitAtMs - nowMs) : 0,
+  };
+}
--- /dev/null
+++ b/packages/health/src/lib/verdict.ts
@@ -0,0 +1,147 @@
+/**
+ * The verdict on one server from pooled evidence.
+ *
+ * The window is read from its newest period backwards and each part of it is
+ * tested, so that good answers before the fault do not delay the verdict.
+ */
+import {
+  WINDOW_PERIODS,
+  addCounts,
+  currentPeriod,
+  emptyCounts,
+} from './evidence-pool.js';
+import type {EvidencePool, PooledCounts} from './evidence-pool.js';
+import {
+  FAULTY_THRESHOLD,
+  HEALTHY_THRESHOLD,
+  faultEvidence,
+} from './fault-test.js';
+import {isFast, isSlow} from './latency-test.js';
+
+export interface VerdictOptions {
+  /** Instances that are live now, with this one. */
+  liveInstances: number;
+  /** Both thresholds are halved, as during the ramp after readmission. */
+  halved: boolean;
+  /** Slow answers count, which they do not while a new server is cold. */
+  judgesLatency: boolean;
+}
+
+export interface Verdict {
+  reason: 'faults' | 'latency';
+  /** Larger is worse; comparable between servers of a service. */
+  badness: number;
+  /** First period of the part of the window that shows it. */
+  firstPeriod: number;
+}
+
+interface Tally extends PooledCounts {
+  region: string;
+}
+
+const MIN_REPORTERS = 3;
+// A reporter cannot vouch for a server by more than this, so that a single one
+// that claims many successes does not keep a faulty server in rotation.
+const MAX_VOUCH = 5;
+
+export function judge(
+  pool: EvidencePool,
+  options: VerdictOptions,
+): Verdict | undefined {
+  if (!pool.isSuspect()) return undefined;
+  const newest = currentPeriod();
+  const tallies = new Map<string, Tally>();
+  for (let back = 0; back < WINDOW_PERIODS; back += 1) {
+    const firstPeriod = newest - back;
+    addPeriod(tallies, pool, firstPeriod);
+    const verdict = judgeTallies([...tallies.values()], options);
+    if (verdict) return {...verdict, firstPeriod};
+  }
+  return undefined;
+}
+
+function addPeriod(
+  tallies: Map<string, Tally>,
+  pool: EvidencePool,
+  period: number,
+): void {
+  for (const {reporterId, region, slots} of pool.reporters.values()) {
+    const slot = slots.find(one => one.period === period);
+    if (!slot) continue;
+    let tally = tallies.get(reporterId);
+    if (!tally) tallies.set(reporterId, (tally = {region, ...emptyCounts()}));
+    addCounts(tally, slot);
+  }
+}
+
+function judgeTallies(
+  tallies: readonly Tally[],
+  options: VerdictOptions,
+): Omit<Verdict, 'firstPeriod'> | undefined {
+  const needed = Math.min(MIN_REPORTERS, options.liveInstances);
+  if (tallies.length < needed) return undefined;
+  const leavesOut = options.liveInstances >= MIN_REPORTERS;
+  const evidence = faultSum(tallies, leavesOut);
+  const threshold = FAULTY_THRESHOLD / (options.halved ? 2 : 1);
+  if (evidence >= threshold && !regionDenies(tallies, deniesFaults)) {
+    return {reason: 'faults', badness: 1 + evidence / FAULTY_THRESHOLD};
+  }
+  if (!options.judgesLatency) return undefined;
+  const {samples, slow} = slowSum(tallies, leavesOut);
+  if (!isSlow(samples, slow, options.halved)) return undefined;
+  if (regionDenies(tallies, deniesSlowness)) return undefined;
+  return {reason: 'latency', badness: slow / samples};
+}
+
+/** Evidence of faults, without the most damaging reporter if asked for. */
+function faultSum(tallies: readonly Tally[], leavesOut: boolean): number {
+  let sum = 0;
+  let worst = 0;
+  for (const {successes, faults} of tallies) {
+    const evidence = Math.max(-MAX_VOUCH, faultEvidence(successes, faults));
+    sum += evidence;
+    worst = Math.max(worst, evidence);
+  }
+  return leavesOut ? sum - worst : sum;
+}
+
+function slowSum(tallies: readonly Tally[], leavesOut: boolean) {
+  let samples = 0;
+  let slow = 0;
+  let worst: Tally | undefined;
+  for (const tally of tallies) {
+    samples += tally.latencySamples;
+    slow += tally.slowSamples;
+    if (tally.slowSamples > (worst?.slowSamples ?? 0)) worst = tally;
+  }
+  if (!leavesOut || !worst) return {samples, slow};
+  return {
+    samples: samples - worst.latencySamples,
+    slow: slow - worst.slowSamples,
+  };
+}
+
+/**
+ * Whether the reporters of one region saw the server well: then the fault lies
+ * on the way from the other regions.
+ */
+function regionDenies(
+  tallies: readonly Tally[],
+  denies: (counts: PooledCounts) => boolean,
+): boolean {
+  const regions = new Map<string, PooledCounts>();
+  for (const tally of tallies) {
+    const sum = regions.get(tally.region) ?? emptyCounts();
+    addCounts(sum, tally);
+    regions.set(tally.region, sum);
+  }
+  return [...regions.values()].some(denies);
+}
+
+function deniesFaults({successes, faults}: PooledCounts): boolean {
+  return faultEvidence(successes, faults) <= HEALTHY_THRESHOLD;
+}
+
+function deniesSlowness(counts: PooledCounts): boolean {
+  return isFast(counts.latencySamples, counts.slowSamples);
+}
