Add the share ledger, the borrowing limiter and the fair queue

Cause: the static share refuses teams whose traffic is uneven. Change: owned shares in the table's ledger row, local buckets that lend to peers, and start-time fair queueing of a service's slots by team. Tokens lent out count against the lender's capacity until they expire, in place of the capacity reduced by rate x lifetime.

--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,3 +1,12 @@
 export type {Admission, TeamLimiter} from './lib/team-limiter.js';
 export {TokenBucket} from './lib/token-bucket.js';
 export {StaticShareLimiter} from './lib/static-share-limiter.js';
+export {BorrowingLimiter} from './lib/borrowing-limiter.js';
+export type {BorrowingLimiterOptions} from './lib/borrowing-limiter.js';
+export {ledgerKey, ledgerRowSchema} from './lib/ledger-row.js';
+export type {LedgerRow} from './lib/ledger-row.js';
+export {BORROW_KIND, borrowRequestSchema} from './lib/limit-messages.js';
+export {FairQueue} from './lib/fair-queue.js';
+export type {FairQueueOptions} from './lib/fair-queue.js';
+export type {QueueError} from './lib/queue-error.js';
+export type {Slot, SlotResult} from './lib/service-queue.js';
--- /dev/null
+++ b/packages/limits/src/lib/borrowing-limiter.ts
@@ -0,0 +1,199 @@
+/**
+ * Admits each team's requests under one rate and burst for the whole fleet:
+ * every instance owns a share of each team's bucket and lends from it.
+ */
+import type {ConfigurationSource} from '@fireflytrack/configuration';
+import type {Membership} from '@fireflytrack/membership';
+import type {TableService} from '@fireflytrack/platform';
+import type {Logger, Metrics} from '@fireflytrack/telemetry';
+import type {PeerIdentity, PeerNetwork} from '@fireflytrack/wire';
+import {
+  BORROW_KIND,
+  LEVELS_KIND,
+  RETURN_KIND,
+  borrowRequestSchema,
+  levelsSchema,
+  returnSchema,
+} from './limit-messages.js';
+import type {BorrowAnswer, Levels} from './limit-messages.js';
+import {ShareLedger} from './share-ledger.js';
+import {TeamAccount} from './team-account.js';
+import type {Admission, TeamLimiter} from './team-limiter.js';
+import {TokenBorrower} from './token-borrower.js';
+
+export interface BorrowingLimiterOptions {
+  source: ConfigurationSource;
+  network: PeerNetwork;
+  membership: Membership;
+  table: TableService;
+  logger: Logger;
+  metrics: Metrics;
+  /** Number from 0 to below 1; Math.random unless a test fixes it. */
+  random?(): number;
+}
+
+const TICK_MS = 20;
+const LEVELS_EVERY_TICKS = 5;
+const UNKNOWN_TEAM_RETRY_MS = 1000;
+
+export class BorrowingLimiter implements TeamLimiter {
+  private readonly accounts = new Map<string, TeamAccount>();
+  private readonly ledger: ShareLedger;
+  private readonly borrower: TokenBorrower;
+  private timer: NodeJS.Timeout | undefined;
+  private tickedAtMs = performance.now();
+  private ticks = 0;
+
+  private constructor(private readonly options: BorrowingLimiterOptions) {
+    this.ledger = ShareLedger.create({
+      ...options,
+      shard: 0,
+      random: options.random ?? Math.random,
+      onParts: parts => this.setParts(parts),
+    });
+    this.borrower = TokenBorrower.create({
+      ...options,
+      usableParts: () => this.ledger.usableParts(),
+    });
+    this.handleMessages(options.network);
+    options.source.onChange(({configuration}) =>
+      this.applyTeams(configuration.teams),
+    );
+  }
+
+  static create(options: BorrowingLimiterOptions): BorrowingLimiter {
+    return new BorrowingLimiter(options);
+  }
+
+  start(): void {
+    this.ledger.start();
+    this.tickedAtMs = performance.now();
+    this.timer ??= setInterval(() => this.tick(), TICK_MS);
+  }
+
+  /** Returns the share; requests that still come are admitted by borrowing. */
+  async stop(): Promise<void> {
+    await this.ledger.stop();
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  admit(teamName: string): Admission | Promise<Admission> {
+    const account = this.accounts.get(teamName);
+    if (!account) return {admitted: false, retryAfterMs: UNKNOWN_TEAM_RETRY_MS};
+    const admission = account.tryAdmit();
+    if (admission) return admission;
+    if (!this.borrower.worthWaiting(account)) return account.refusal();
+    const waiting = account.wait();
+    this.borrower.borrow(account);
+    return waiting;
+  }
+
+  state(): Record<string, unknown> {
+    const teams: Record<string, unknown> = {};
+    for (const account of this.accounts.values()) {
+      teams[account.teamName] = account.state();
+    }
+    return {ledger: this.ledger.state(), teams};
+  }
+
+  private applyTeams(
+    teams: ReadonlyMap<string, {ratePerSecond: number; burstTokens: number}>,
+  ): void {
+    for (const teamName of this.accounts.keys()) {
+      if (!teams.has(teamName)) this.accounts.delete(teamName);
+    }
+    for (const [teamName, {ratePerSecond, burstTokens}] of teams) {
+      const rate = {ratePerSecond, burstTokens};
+      const account = this.accounts.get(teamName);
+      if (account) account.setRate(rate);
+      else this.accounts.set(teamName, this.createAccount(teamName, rate));
+    }
+  }
+
+  private createAccount(
+    teamName: string,
+    rate: {ratePerSecond: number; burstTokens: number},
+  ): TeamAccount {
+    const parts = this.ledger.usableParts();
+    const partsOf = (peerId: string) => this.ledger.partsOf(peerId);
+    return TeamAccount.create(teamName, rate, parts, partsOf);
+  }
+
+  private setParts(parts: number): void {
+    for (const account of this.accounts.values()) account.setParts(parts);
+  }
+
+  private handleMessages(network: PeerNetwork): void {
+    network.onRequest(BORROW_KIND, (from, payload) => this.lend(from, payload));
+    network.onMessage(LEVELS_KIND, (from, payload) => {
+      const parsed = levelsSchema.safeParse(payload);
+      if (!parsed.success) return this.onInvalid(from, LEVELS_KIND);
+      this.ledger.noteHeard(from.instanceId);
+      const levels = Object.entries(parsed.data.lendableMicro);
+      for (const [teamName, lendableMicro] of levels) {
+        const account = this.accounts.get(teamName);
+        account?.peerLevels.set(from.instanceId, lendableMicro);
+      }
+    });
+    network.onMessage(RETURN_KIND, (from, payload) => {
+      const parsed = returnSchema.safeParse(payload);
+      if (!parsed.success) return this.onInvalid(from, RETURN_KIND);
+      const {teamName, lotId, amountMicro} = parsed.data;
+      const account = this.accounts.get(teamName);
+      account?.takeBack(`${from.instanceId}/${lotId}`, amountMicro);
+    });
+  }
+
+  private lend(from: PeerIdentity, payload: unknown): BorrowAnswer {
+    const request = borrowRequestSchema.parse(payload);
+    this.ledger.noteHeard(from.instanceId);
+    const account = this.accounts.get(request.teamName);
+    if (!account) return {grantedMicro: 0, lendableMicro: 0};
+    // Of two instances that both wait, only the one with the higher id lends;
+    // otherwise both could hold half a token until their requests are refused.
+    const self = this.options.network.self.instanceId;
+    const keeps = account.waitingCount > 0 && self < from.instanceId;
+    const grantedMicro = keeps
+      ? 0
+      : account.lend(
+          `${from.instanceId}/${request.lotId}`,
+          request.wantedMicro,
+          request.lifetimeMs,
+        );
+    const lendableMicro = keeps ? 0 : account.lendableMicro(performance.now());
+    return {grantedMicro, lendableMicro};
+  }
+
+  private tick(): void {
+    const nowMs = performance.now();
+    const elapsedMs = nowMs - this.tickedAtMs;
+    this.tickedAtMs = nowMs;
+    this.ticks += 1;
+    for (const account of this.accounts.values()) {
+      if (account.waitingCount > 0) account.serveWaiting();
+      this.borrower.returnUnspent(account);
+      if (account.demand.isIdle()) continue;
+      account.demand.tick(elapsedMs);
+      this.borrower.borrow(account);
+    }
+    if (this.ticks % LEVELS_EVERY_TICKS === 0) this.tellLevels(nowMs);
+  }
+
+  private tellLevels(nowMs: number): void {
+    const levels: Levels = {lendableMicro: {}};
+    let any = false;
+    for (const account of this.accounts.values()) {
+      if (account.demand.isIdle() && !account.lentLately) continue;
+      account.lentLately = false;
+      levels.lendableMicro[account.teamName] = account.lendableMicro(nowMs);
+      any = true;
+    }
+    if (any) this.options.network.broadcast(LEVELS_KIND, levels);
+  }
+
+  private onInvalid(from: PeerIdentity, kind: string): void {
+    const {instanceId} = from;
+    this.options.logger.warn('invalid message', {instanceId, kind});
+  }
+}
--- /dev/null
+++ b/packages/limits/src/lib/limit-messages.ts
@@ -0,0 +1,54 @@
+/** Messages between the limiters of a fleet, checked at receipt. */
+import {z} from 'zod';
+
+/** Message: tokens that the sender could lend now, by team. */
+export const LEVELS_KIND = 'limits/levels';
+/** Request: subtract tokens here and let the sender spend them. */
+export const BORROW_KIND = 'limits/borrow';
+/** Message: the sender keeps nothing of a borrowed lot. */
+export const RETURN_KIND = 'limits/return';
+/** Message: the sender owns too few parts and asks for some. */
+export const ASK_PARTS_KIND = 'limits/ask-parts';
+/** Message: the sender wrote the ledger in favour of the receiver. */
+export const LEDGER_CHANGED_KIND = 'limits/ledger-changed';
+/** Request: whether the receiver has heard an instance lately. */
+export const HEARD_KIND = 'limits/heard';
+
+const microSchema = z.number().int().nonnegative().max(1e15);
+const idSchema = z.string().min(1).max(256);
+
+export const levelsSchema = z.object({
+  lendableMicro: z.record(z.string(), microSchema),
+});
+export type Levels = z.infer<typeof levelsSchema>;
+
+export const borrowRequestSchema = z.object({
+  teamName: idSchema,
+  /** Unique for the borrower. */
+  lotId: idSchema,
+  wantedMicro: microSchema,
+  /** The borrower spends the tokens within this time after it asked. */
+  lifetimeMs: z.number().positive().max(250),
+});
+export type BorrowRequest = z.infer<typeof borrowRequestSchema>;
+
+export const borrowAnswerSchema = z.object({
+  grantedMicro: microSchema,
+  /** What the lender could lend after this grant. */
+  lendableMicro: microSchema,
+});
+export type BorrowAnswer = z.infer<typeof borrowAnswerSchema>;
+
+export const returnSchema = z.object({
+  teamName: idSchema,
+  lotId: idSchema,
+  amountMicro: microSchema,
+});
+export type ReturnedLot = z.infer<typeof returnSchema>;
+
+export const heardRequestSchema = z.object({
+  instanceId: idSchema,
+  forMs: z.number().nonnegative(),
+});
+
+export const heardAnswerSchema = z.object({heard: z.boolean()});
--- /dev/null
+++ b/packages/limits/src/lib/share-view.ts
@@ -0,0 +1,85 @@
+/**
+ * What this instance knows of the ledger row, and the parts it may use.
+ *
+ * Only an owner lowers its own parts, so an old row is safe to use until the
+ * owner itself decides to lower. From that decision on the lowered value
+ * stands, until the row is seen past the version that the write was based on:
+ * a write without an answer may still take effect while the row looks old.
+ */
+import {EMPTY_LEDGER, partsOf} from './ledger-row.js';
+import type {LedgerRow} from './ledger-row.js';
+
+export class ShareView {
+  private knownVersion = 0;
+  private knownRow: LedgerRow = EMPTY_LEDGER;
+  private loweredToParts: number | undefined;
+  private undecidedVersion: number | undefined;
+  private closed = false;
+
+  private constructor(
+    private readonly instanceId: string,
+    private readonly onParts: (parts: number) => void,
+  ) {}
+
+  /** `onParts` hears the usable parts at each change, before it returns. */
+  static create(
+    instanceId: string,
+    onParts: (parts: number) => void,
+  ): ShareView {
+    return new ShareView(instanceId, onParts);
+  }
+
+  get version(): number {
+    return this.knownVersion;
+  }
+
+  get row(): LedgerRow {
+    return this.knownRow;
+  }
+
+  /** Version that a write without an answer was based on, if one is open. */
+  get undecided(): number | undefined {
+    return this.undecidedVersion;
+  }
+
+  usableParts(): number {
+    if (this.closed) return 0;
+    const owned = partsOf(this.knownRow, this.instanceId);
+    return Math.min(owned, this.loweredToParts ?? owned);
+  }
+
+  /** Takes a row that was read or written; an older one has no effect. */
+  observe(version: number, row: LedgerRow): void {
+    if (version <= this.knownVersion) return;
+    this.knownVersion = version;
+    this.knownRow = row;
+    const decided =
+      this.undecidedVersion !== undefined && version > this.undecidedVersion;
+    if (decided) this.settle();
+    else this.onParts(this.usableParts());
+  }
+
+  /** Uses at most `parts` from now on; call before the write. */
+  lowerTo(parts: number): void {
+    this.loweredToParts = parts;
+    this.onParts(this.usableParts());
+  }
+
+  /** The lowering was written for good, or certainly not. */
+  settle(): void {
+    this.loweredToParts = undefined;
+    this.undecidedVersion = undefined;
+    this.onParts(this.usableParts());
+  }
+
+  /** A write based on the known version may still take effect. */
+  markUndecided(): void {
+    this.undecidedVersion = this.knownVersion;
+  }
+
+  /** Uses nothing any more, whatever later rows say. */
+  close(): void {
+    this.closed = true;
+    this.onParts(0);
+  }
+}
--- /dev/null
+++ b/packages/limits/src/lib/wakeup.ts
@@ -0,0 +1,30 @@
+/** A sleep that another part of the process can cut short. */
+
+export class Wakeup {
+  private pending = false;
+  private wakeSleeper: (() => void) | undefined;
+
+  static create(): Wakeup {
+    return new Wakeup();
+  }
+
+  /** Ends the current sleep, or the next one at once. */
+  wake(): void {
+    this.pending = true;
+    this.wakeSleeper?.();
+  }
+
+  async sleep(durationMs: number): Promise<void> {
+    if (!this.pending) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, durationMs);
+        this.wakeSleeper = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    this.wakeSleeper = undefined;
+    this.pending = false;
+  }
+}
