Add a simulated fleet of limiters for the proofs

Cause: P5 needs a proof under pauses, cuts, outages and lost answers. Change: fake timers owned by processes that can freeze, the fleet, load, faults, naive variants and the checkers. Borrowers tell lenders of used-up fractions, so that small shares refill at once. Conclusion: small teams on 40 instances are still refused too often.

--- a/packages/limits/src/lib/borrowed-lots.ts
+++ b/packages/limits/src/lib/borrowed-lots.ts
@@ -5,16 +5,22 @@
  * on the borrower's own monotonic clock.
  */
 
+import {MICRO_PER_TOKEN} from './micro-tokens.js';
+
 export interface BorrowedLot {
   lotId: string;
   lenderId: string;
+  /** What is left to spend. */
   amountMicro: number;
+  /** What the lender granted. */
+  grantedMicro: number;
   expiresAtMs: number;
 }
 
 export class BorrowedLots {
   private lots: BorrowedLot[] = [];
   private totalMicro = 0;
+  private spent: BorrowedLot[] = [];
 
   static create(): BorrowedLots {
     return new BorrowedLots();
@@ -46,11 +52,22 @@
       lot.amountMicro -= taken;
       this.totalMicro -= taken;
       missing -= taken;
-      if (lot.amountMicro <= 0) this.lots.shift();
+      if (lot.amountMicro <= 0) this.noteSpent(this.lots.shift()!);
     }
     return amountMicro - missing;
   }
 
+  hasSpent(): boolean {
+    return this.spent.length > 0;
+  }
+
+  /** Fractions of a token that were used up since the last call. */
+  takeSpent(): BorrowedLot[] {
+    const spent = this.spent;
+    this.spent = [];
+    return spent;
+  }
+
   /** Removes the lots that expire by `expiryMs`, to be given back. */
   removeExpiringBy(expiryMs: number): BorrowedLot[] {
     const count = this.lots.findIndex(lot => lot.expiresAtMs > expiryMs);
@@ -59,6 +76,12 @@
     return removed;
   }
 
+  // Lenders of fractions own little, so that a lot that is spent but still
+  // counted would keep their buckets from refilling for its lifetime.
+  private noteSpent(lot: BorrowedLot): void {
+    if (lot.grantedMicro < MICRO_PER_TOKEN) this.spent.push(lot);
+  }
+
   private dropUntil(nowMs: number): void {
     while (this.lots.length > 0 && this.lots[0]!.expiresAtMs <= nowMs) {
       this.totalMicro -= this.lots.shift()!.amountMicro;
--- a/packages/limits/src/lib/borrowing-limiter.ts
+++ b/packages/limits/src/lib/borrowing-limiter.ts
@@ -117,7 +117,9 @@
   ): TeamAccount {
     const parts = this.ledger.usableParts();
     const partsOf = (peerId: string) => this.ledger.partsOf(peerId);
-    return TeamAccount.create(teamName, rate, parts, partsOf);
+    return TeamAccount.create(teamName, rate, parts, partsOf, account =>
+      this.borrower.reportSpent(account),
+    );
   }
 
   private setParts(parts: number): void {
--- a/packages/limits/src/lib/owned-bucket.ts
+++ b/packages/limits/src/lib/owned-bucket.ts
@@ -39,6 +39,10 @@
     return this.tokensMicro;
   }
 
+  capacityMicro(): number {
+    return capacityMicro(this.team, this.parts);
+  }
+
   lentOutMicro(): number {
     return this.lentMicro;
   }
@@ -108,7 +112,7 @@
   }
 
   private clip(): void {
-    const room = capacityMicro(this.team, this.parts) - this.lentMicro;
+    const room = this.capacityMicro() - this.lentMicro;
     if (this.tokensMicro > room) this.tokensMicro = Math.max(0, room);
   }
 }
--- a/packages/limits/src/lib/team-account.ts
+++ b/packages/limits/src/lib/team-account.ts
@@ -36,19 +36,22 @@
     private currentRate: TeamRate,
     parts: number,
     partsOf: (peerId: string) => number,
+    private readonly onLotsSpent: (account: TeamAccount) => void,
   ) {
     this.bucket = OwnedBucket.create(currentRate, parts);
     this.peerLevels = PeerLevels.create(partsOf);
     this.waiting = WaitingRequests.create(() => this.onWaitDeadline());
   }
 
+  /** `onLotsSpent` is called when borrowed fractions were used up. */
   static create(
     teamName: string,
     rate: TeamRate,
     parts: number,
     partsOf: (peerId: string) => number,
+    onLotsSpent: (account: TeamAccount) => void,
   ): TeamAccount {
-    return new TeamAccount(teamName, rate, parts, partsOf);
+    return new TeamAccount(teamName, rate, parts, partsOf, onLotsSpent);
   }
 
   get rate(): TeamRate {
@@ -105,9 +108,15 @@
 
   /** Whole millionths that a peer may borrow now. */
   lendableMicro(nowMs: number): number {
-    const reserve =
-      (this.demand.perSecond() * LENDER_RESERVE_MS * MICRO_PER_TOKEN) / 1000;
-    return Math.max(0, Math.floor(this.bucket.levelMicro(nowMs) - reserve));
+    const level = this.bucket.levelMicro(nowMs);
+    // A share that never holds a whole token serves nobody by itself.
+    if (this.bucket.capacityMicro() < MICRO_PER_TOKEN) return Math.floor(level);
+    const perSecond = Math.min(
+      this.demand.perSecond(),
+      this.currentRate.ratePerSecond,
+    );
+    const reserve = (perSecond * LENDER_RESERVE_MS * MICRO_PER_TOKEN) / 1000;
+    return Math.max(0, Math.floor(level - reserve));
   }
 
   /** Subtracts up to `wantedMicro` for a peer; returns what it may spend. */
@@ -142,6 +151,7 @@
     if (borrowed + owned < MICRO_PER_TOKEN) return false;
     const taken = borrowed > 0 ? this.lots.take(MICRO_PER_TOKEN) : 0;
     this.bucket.take(MICRO_PER_TOKEN - taken);
+    if (this.lots.hasSpent()) this.onLotsSpent(this);
     return true;
   }
 
--- a/packages/limits/src/lib/token-borrower.ts
+++ b/packages/limits/src/lib/token-borrower.ts
@@ -12,6 +12,7 @@
 } from './limit-messages.js';
 import type {BorrowRequest, ReturnedLot} from './limit-messages.js';
 import {MICRO_PER_TOKEN, lifetimeMs, microPerMs} from './micro-tokens.js';
+import type {BorrowedLot} from './borrowed-lots.js';
 import type {TeamAccount} from './team-account.js';
 
 export interface TokenBorrowerOptions {
@@ -68,15 +69,16 @@
   borrow(account: TeamAccount): void {
     const nowMs = performance.now();
     let missing = this.missingMicro(account, nowMs);
-    if (missing < MIN_ASK_MICRO) return;
+    if (missing <= 0) return;
+    const leastMicro = Math.min(missing, MIN_ASK_MICRO);
     const candidates = this.candidates(account, nowMs);
     candidates.sort((a, b) => b.estimateMicro - a.estimateMicro);
     for (const {peerId, estimateMicro} of candidates) {
       const wantedMicro = Math.ceil(Math.min(missing, estimateMicro));
-      if (wantedMicro < MIN_ASK_MICRO) break;
+      if (wantedMicro < leastMicro) break;
       void this.ask(account, peerId, wantedMicro, estimateMicro);
       missing -= wantedMicro;
-      if (missing < 1) break;
+      if (missing <= 0) break;
     }
   }
 
@@ -85,11 +87,23 @@
     if (account.waitingCount > 0) return;
     const leftMs = lifetimeMs(account.rate) * RETURN_FRACTION;
     const lots = account.lots.removeExpiringBy(performance.now() + leftMs);
-    for (const {lenderId, lotId, amountMicro} of lots) {
-      const {teamName} = account;
-      const returned: ReturnedLot = {teamName, lotId, amountMicro};
-      this.options.network.send(lenderId, RETURN_KIND, returned);
-    }
+    for (const lot of lots) this.sendBack(account, lot);
+  }
+
+  /** Tells the lenders of used-up fractions that these are spent. */
+  reportSpent(account: TeamAccount): void {
+    for (const lot of account.lots.takeSpent()) this.sendBack(account, lot);
+  }
+
+  private sendBack(account: TeamAccount, lot: BorrowedLot): void {
+    const {lotId, lenderId} = lot;
+    const amountMicro = Math.floor(lot.amountMicro);
+    const returned: ReturnedLot = {
+      teamName: account.teamName,
+      lotId,
+      amountMicro,
+    };
+    this.options.network.send(lenderId, RETURN_KIND, returned);
   }
 
   private missingMicro(account: TeamAccount, nowMs: number): number {
@@ -115,7 +129,7 @@
         account.rate,
         nowMs,
       );
-      if (estimateMicro >= MIN_ASK_MICRO) found.push({peerId, estimateMicro});
+      if (estimateMicro >= 1) found.push({peerId, estimateMicro});
     }
     return found;
   }
@@ -159,6 +173,7 @@
         lotId,
         lenderId: peerId,
         amountMicro: grantedMicro,
+        grantedMicro,
         expiresAtMs,
       };
       account.addBorrowed(lot);
--- /dev/null
+++ b/packages/proofs/src/lib/limits-safety.ts
@@ -0,0 +1,58 @@
+/** Property P5: no team gets more than its rate and burst over the fleet. */
+import {checkWithinLimits} from './limits-checker.js';
+import {scheduleFaults} from './limits-faults.js';
+import type {FaultKind} from './limits-faults.js';
+import {LimitsFleet} from './limits-fleet.js';
+import type {LimitsFleetOptions} from './limits-fleet.js';
+import {offerLoad} from './limits-load.js';
+import {between, seededRandom} from './limits-random.js';
+import type {TeamLimits} from './mutable-configuration.js';
+import {SimulatedClock} from './simulated-clock.js';
+
+export interface SafetyRunOptions {
+  seed: number;
+  instances: number;
+  durationMs: number;
+  faultKinds: readonly FaultKind[];
+  faultCount: number;
+  /** Requests that a team sends, as a multiple of its rate. */
+  overload: number;
+  createLimiter?: LimitsFleetOptions['createLimiter'];
+}
+
+/** Teams of the deployments' sizes: some under a token per instance. */
+export function mixedTeams(seed: number): TeamLimits[] {
+  const random = seededRandom(seed ^ 0x5eed);
+  return [
+    {name: 'single', ratePerSecond: 1, burstTokens: 1},
+    {name: 'small', ratePerSecond: between(random, 1, 5), burstTokens: 3},
+    {name: 'middle', ratePerSecond: 40, burstTokens: between(random, 5, 60)},
+    {name: 'large', ratePerSecond: 150, burstTokens: 150},
+  ];
+}
+
+/** Runs a fleet under load and faults and checks every window. */
+export async function runSafety(options: SafetyRunOptions): Promise<void> {
+  const {seed, durationMs, overload} = options;
+  const clock = SimulatedClock.install();
+  try {
+    const teams = mixedTeams(seed);
+    const fleet = LimitsFleet.create({...options, clock, teams});
+    const {faultKinds, faultCount} = options;
+    scheduleFaults(fleet, faultKinds, faultCount, durationMs);
+    for (const team of teams) {
+      offerLoad(fleet, {
+        teamName: team.name,
+        requestsPerSecond: team.ratePerSecond * overload,
+        durationMs,
+        skew: fleet.random() < 0.5 ? 0.8 : 0,
+      });
+    }
+    await fleet.advance(durationMs);
+    for (const team of teams) checkWithinLimits(fleet.history, team);
+  } catch (error) {
+    throw new Error(`seed ${seed}: ${String(error)}`);
+  } finally {
+    clock.uninstall();
+  }
+}
