Borrow evenly from the fullest peers

Cause: a bucket that stays full earns nothing, so drawing some buckets empty lost part of a small team's rate; stale levels made requests wait in vain. Change: asks draw the fullest peers down to a common level, ask more after short grants, skip hopeless rounds, and give surplus back at the next tick.

--- a/packages/limits/src/lib/borrowed-lots.ts
+++ b/packages/limits/src/lib/borrowed-lots.ts
@@ -82,6 +82,18 @@
     if (lot.grantedMicro < MICRO_PER_TOKEN) this.spent.push(lot);
   }
 
+  /** Removes whole lots, oldest first, that together stay within `micro`. */
+  removeSurplus(micro: number): BorrowedLot[] {
+    let left = micro;
+    let count = 0;
+    while (count < this.lots.length && this.lots[count]!.amountMicro <= left) {
+      left -= this.lots[count]!.amountMicro;
+      count += 1;
+    }
+    this.totalMicro -= micro - left;
+    return this.lots.splice(0, count);
+  }
+
   private dropUntil(nowMs: number): void {
     while (this.lots.length > 0 && this.lots[0]!.expiresAtMs <= nowMs) {
       this.totalMicro -= this.lots.shift()!.amountMicro;
--- a/packages/limits/src/lib/borrowing-limiter.ts
+++ b/packages/limits/src/lib/borrowing-limiter.ts
@@ -45,14 +45,16 @@
   private ticks = 0;
 
   private constructor(private readonly options: BorrowingLimiterOptions) {
+    const random = options.random ?? Math.random;
     this.ledger = ShareLedger.create({
       ...options,
       shard: 0,
-      random: options.random ?? Math.random,
+      random,
       onParts: parts => this.setParts(parts),
     });
     this.borrower = TokenBorrower.create({
       ...options,
+      random,
       usableParts: () => this.ledger.usableParts(),
     });
     this.handleMessages(options.network);
--- a/packages/limits/src/lib/peer-levels.ts
+++ b/packages/limits/src/lib/peer-levels.ts
@@ -40,6 +40,16 @@
     this.levels.set(peerId, {lendableMicro: 0, atMs, avoidUntilMs});
   }
 
+  /** Notes that `askedMicro` were asked of the peer. */
+  subtract(peerId: string, askedMicro: number, team: TeamRate): void {
+    const estimate = this.estimateMicro(peerId, team, performance.now());
+    this.set(peerId, Math.max(0, estimate - askedMicro));
+  }
+
+  capacityMicro(peerId: string, team: TeamRate): number {
+    return capacityMicro(team, this.partsOf(peerId));
+  }
+
   estimateMicro(peerId: string, team: TeamRate, nowMs: number): number {
     const parts = this.partsOf(peerId);
     const capacity = capacityMicro(team, parts);
--- a/packages/limits/src/lib/team-account.ts
+++ b/packages/limits/src/lib/team-account.ts
@@ -18,6 +18,10 @@
 // A lender keeps what its own callers will take until its next borrowing.
 const LENDER_RESERVE_MS = 50;
 
+// After answers that granted too little, the levels known here are too high
+// and time is short, so waiting requests ask more peers than they need.
+const MAX_OVERASKING = 4;
+
 const ADMITTED: Admission = {admitted: true};
 
 export class TeamAccount {
@@ -26,6 +30,10 @@
   readonly peerLevels: PeerLevels;
   /** Tokens asked of peers that have not answered yet. */
   askedMicro = 0;
+  /** Grants under what was asked, since a waiting request was admitted. */
+  shortAnswers = 0;
+  /** When peers were last asked although they seemed to hold too little. */
+  probedAtMs = -Infinity;
   /** Whether tokens were lent since the last level frame. */
   lentLately = false;
   private readonly waiting: WaitingRequests;
@@ -94,9 +102,16 @@
     const nowMs = performance.now();
     while (this.waiting.count > 0 && this.takeToken(nowMs)) {
       this.waiting.settleOldest(ADMITTED);
+      this.shortAnswers = 0;
     }
   }
 
+  /** Factor by which waiting requests ask for more than they need. */
+  overAsking(): number {
+    if (this.waiting.count > MAX_OVERASKING) return 1;
+    return Math.min(MAX_OVERASKING, 1 + this.shortAnswers / 4);
+  }
+
   addBorrowed(lot: BorrowedLot): void {
     this.lots.add(lot, performance.now());
     this.serveWaiting();
--- a/packages/limits/src/lib/token-borrower.ts
+++ b/packages/limits/src/lib/token-borrower.ts
@@ -13,6 +13,8 @@
 import type {BorrowRequest, ReturnedLot} from './limit-messages.js';
 import {MICRO_PER_TOKEN, lifetimeMs, microPerMs} from './micro-tokens.js';
 import type {BorrowedLot} from './borrowed-lots.js';
+import {planAsks} from './borrow-plan.js';
+import type {Ask, Candidate} from './borrow-plan.js';
 import type {TeamAccount} from './team-account.js';
 
 export interface TokenBorrowerOptions {
@@ -21,6 +23,7 @@
   logger: Logger;
   metrics: Metrics;
   usableParts(): number;
+  random(): number;
 }
 
 // An answer later than this is of no use to a waiting request (60 ms), but may
@@ -28,8 +31,12 @@
 const ANSWER_TIMEOUT_MS = 100;
 // Borrowed ahead: the demand until the next ticks and a round trip later.
 const AHEAD_MS = 80;
-// The smallest amount worth a message; small teams gather a token from many.
-const MIN_ASK_MICRO = 1000;
+// Borrows ahead once less than this fraction is left, to save messages; it
+// still covers a tick and a round trip between regions (36 of 80 ms).
+const REFILL_BELOW = 0.6;
+// Smaller estimates are growth since the last word, not worth a message.
+const MIN_ASK_MICRO = 2000;
+const PROBE_EVERY_MS = 100;
 // Requests that wait although no peer seems to hold tokens for them; without
 // these a wrong estimate would not be noticed.
 const PROBING_REQUESTS = 2;
@@ -37,10 +44,9 @@
 // that they arrive before the lender drops them.
 const RETURN_FRACTION = 0.35;
 
-interface Candidate {
-  peerId: string;
-  estimateMicro: number;
-}
+// Borrowed tokens beyond this multiple of the demand ahead go back at once, so
+// that their owners may serve other instances.
+const KEPT_AHEAD = 1.5;
 
 export class TokenBorrower {
   private nextLot = 1;
@@ -68,26 +74,25 @@
   /** Asks peers for what waiting requests and the demand ahead need. */
   borrow(account: TeamAccount): void {
     const nowMs = performance.now();
-    let missing = this.missingMicro(account, nowMs);
+    const missing = this.missingMicro(account, nowMs);
     if (missing <= 0) return;
-    const leastMicro = Math.min(missing, MIN_ASK_MICRO);
     const candidates = this.candidates(account, nowMs);
-    candidates.sort((a, b) => b.estimateMicro - a.estimateMicro);
-    for (const {peerId, estimateMicro} of candidates) {
-      const wantedMicro = Math.ceil(Math.min(missing, estimateMicro));
-      if (wantedMicro < leastMicro) break;
-      void this.ask(account, peerId, wantedMicro, estimateMicro);
-      missing -= wantedMicro;
-      if (missing <= 0) break;
+    if (!this.promising(account, candidates, nowMs)) return;
+    for (const ask of planAsks(candidates, missing, this.options.random)) {
+      void this.ask(account, ask);
     }
   }
 
   /** Gives unspent tokens back before their lifetime ends. */
   returnUnspent(account: TeamAccount): void {
     if (account.waitingCount > 0) return;
+    const nowMs = performance.now();
     const leftMs = lifetimeMs(account.rate) * RETURN_FRACTION;
-    const lots = account.lots.removeExpiringBy(performance.now() + leftMs);
-    for (const lot of lots) this.sendBack(account, lot);
+    const kept = this.aheadMicro(account) * KEPT_AHEAD;
+    const {lots} = account;
+    const unspent = lots.removeExpiringBy(nowMs + leftMs);
+    unspent.push(...lots.removeSurplus(lots.levelMicro(nowMs) - kept));
+    for (const lot of unspent) this.sendBack(account, lot);
   }
 
   /** Tells the lenders of used-up fractions that these are spent. */
@@ -106,39 +111,61 @@
     this.options.network.send(lenderId, RETURN_KIND, returned);
   }
 
+  /**
+   * Whether the peers seem to hold a token for a waiting request. If not, they
+   * are asked now and then only, in case the levels known here are too low.
+   */
+  private promising(
+    account: TeamAccount,
+    candidates: readonly Candidate[],
+    nowMs: number,
+  ): boolean {
+    let expected = account.availableMicro(nowMs) + account.askedMicro;
+    for (const {estimateMicro} of candidates) expected += estimateMicro;
+    if (expected >= MICRO_PER_TOKEN) return true;
+    if (nowMs - account.probedAtMs < PROBE_EVERY_MS) return false;
+    account.probedAtMs = nowMs;
+    return true;
+  }
+
   private missingMicro(account: TeamAccount, nowMs: number): number {
-    const {rate} = account;
-    const perSecond = Math.min(account.demand.perSecond(), rate.ratePerSecond);
-    const ahead = (perSecond * AHEAD_MS * MICRO_PER_TOKEN) / 1000;
     const waiting = account.waitingCount * MICRO_PER_TOKEN;
-    // Less than a token ahead serves no request; a waiting one asks itself.
-    const aheadOfNeed = ahead >= MICRO_PER_TOKEN ? ahead : 0;
-    const own = microPerMs(rate, this.options.usableParts()) * AHEAD_MS;
+    const ahead = this.aheadMicro(account);
     const covered = account.availableMicro(nowMs) + account.askedMicro;
-    const wanted = waiting + Math.max(0, aheadOfNeed - own);
-    return wanted - covered;
+    if (waiting === 0 && covered > ahead * REFILL_BELOW) return 0;
+    return waiting * account.overAsking() + ahead - covered;
+  }
+
+  /** Tokens that the next moments take beyond what the own share earns. */
+  private aheadMicro(account: TeamAccount): number {
+    const {rate, demand} = account;
+    const perSecond = Math.min(demand.perSecond(), rate.ratePerSecond);
+    const ahead = (perSecond * AHEAD_MS * MICRO_PER_TOKEN) / 1000;
+    // Less than a token serves no request; a request that comes asks itself.
+    if (ahead < MICRO_PER_TOKEN) return 0;
+    const own = microPerMs(rate, this.options.usableParts()) * AHEAD_MS;
+    return Math.max(0, ahead - own);
   }
 
   private candidates(account: TeamAccount, nowMs: number): Candidate[] {
+    const {membership, network} = this.options;
     const found: Candidate[] = [];
-    for (const member of this.options.membership.others()) {
-      if (!member.reachable || member.leaving) continue;
-      const peerId = member.identity.instanceId;
-      const estimateMicro = account.peerLevels.estimateMicro(
-        peerId,
-        account.rate,
-        nowMs,
-      );
-      if (estimateMicro >= 1) found.push({peerId, estimateMicro});
+    for (const {identity, reachable, leaving} of membership.others()) {
+      if (!reachable || leaving) continue;
+      const peerId = identity.instanceId;
+      const {peerLevels, rate} = account;
+      const estimateMicro = peerLevels.estimateMicro(peerId, rate, nowMs);
+      if (estimateMicro < MIN_ASK_MICRO) continue;
+      const capacityMicro = peerLevels.capacityMicro(peerId, rate);
+      const remote = identity.region !== network.self.region;
+      found.push({peerId, estimateMicro, capacityMicro, remote});
     }
     return found;
   }
 
   private async ask(
     account: TeamAccount,
-    peerId: string,
-    wantedMicro: number,
-    estimateMicro: number,
+    {peerId, wantedMicro}: Ask,
   ): Promise<void> {
     const lotId = String(this.nextLot++);
     const lifetime = lifetimeMs(account.rate);
@@ -148,7 +175,7 @@
       wantedMicro,
       lifetimeMs: lifetime,
     };
-    account.peerLevels.set(peerId, estimateMicro - wantedMicro);
+    account.peerLevels.subtract(peerId, wantedMicro, account.rate);
     account.askedMicro += wantedMicro;
     // The lifetime counts from before the request leaves, so it ends before
     // the lender's, which counts from the subtraction.
@@ -169,6 +196,7 @@
     } else {
       const {grantedMicro, lendableMicro} = answer.data;
       account.peerLevels.set(peerId, lendableMicro);
+      if (grantedMicro < wantedMicro) account.shortAnswers += 1;
       const lot = {
         lotId,
         lenderId: peerId,
