--- /dev/null
+++ b/packages/limits/src/lib/borrowed-lots.ts
@@ -0,0 +1,102 @@
+/**
+ * Tokens borrowed from peers for one team, oldest first.
+ *
+ * A lot can be spent until its lifetime after the borrower sent its request,
+ * on the borrower's own monotonic clock.
+ */
+
+import {MICRO_PER_TOKEN} from './micro-tokens.js';
+
+export interface BorrowedLot {
+  lotId: string;
+  lenderId: string;
+  /** What is left to spend. */
+  amountMicro: number;
+  /** What the lender granted. */
+  grantedMicro: number;
+  expiresAtMs: number;
+}
+
+export class BorrowedLots {
+  private lots: BorrowedLot[] = [];
+  private totalMicro = 0;
+  private spent: BorrowedLot[] = [];
+
+  static create(): BorrowedLots {
+    return new BorrowedLots();
+  }
+
+  /** Adds a lot unless it expired on its way. */
+  add(lot: BorrowedLot, nowMs: number): void {
+    if (lot.expiresAtMs <= nowMs || lot.amountMicro <= 0) return;
+    let index = this.lots.length;
+    while (index > 0 && this.lots[index - 1]!.expiresAtMs > lot.expiresAtMs) {
+      index -= 1;
+    }
+    this.lots.splice(index, 0, lot);
+    this.totalMicro += lot.amountMicro;
+  }
+
+  levelMicro(nowMs: number): number {
+    if (this.lots.length === 0) return 0;
+    this.dropUntil(nowMs);
+    return this.totalMicro;
+  }
+
+  /** Takes up to `amountMicro` and returns how much was taken. */
+  take(amountMicro: number): number {
+    let missing = amountMicro;
+    while (missing > 0 && this.lots.length > 0) {
+      const lot = this.lots[0]!;
+      const taken = Math.min(missing, lot.amountMicro);
+      lot.amountMicro -= taken;
+      this.totalMicro -= taken;
+      missing -= taken;
+      if (lot.amountMicro <= 0) this.noteSpent(this.lots.shift()!);
+    }
+    return amountMicro - missing;
+  }
+
+  hasSpent(): boolean {
+    return this.spent.length > 0;
+  }
+
+  /** Fractions of a token that were used up since the last call. */
+  takeSpent(): BorrowedLot[] {
+    const spent = this.spent;
+    this.spent = [];
+    return spent;
+  }
+
+  /** Removes the lots that expire by `expiryMs`, to be given back. */
+  removeExpiringBy(expiryMs: number): BorrowedLot[] {
+    const count = this.lots.findIndex(lot => lot.expiresAtMs > expiryMs);
+    const removed = this.lots.splice(0, count < 0 ? this.lots.length : count);
+    for (const lot of removed) this.totalMicro -= lot.amountMicro;
+    return removed;
+  }
+
+  // Lenders of fractions own little, so that a lot that is spent but still
+  // counted would keep their buckets from refilling for its lifetime.
+  private noteSpent(lot: BorrowedLot): void {
+    if (lot.grantedMicro < MICRO_PER_TOKEN) this.spent.push(lot);
+  }
+
+  /** Removes whole lots, oldest first, that together stay within `micro`. */
+  removeSurplus(micro: number): BorrowedLot[] {
+    let left = micro;
+    let count = 0;
+    while (count < this.lots.length && this.lots[count]!.amountMicro <= left) {
+      left -= this.lots[count]!.amountMicro;
+      count += 1;
+    }
+    this.totalMicro -= micro - left;
+    return this.lots.splice(0, count);
+  }
+
+  private dropUntil(nowMs: number): void {
+    while (this.lots.length > 0 && this.lots[0]!.expiresAtMs <= nowMs) {
+      this.totalMicro -= this.lots.shift()!.amountMicro;
+    }
+  }
+}
