--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -11,6 +11,7 @@
 } from '@fireflytrack/entry';
 import {RandomSelector} from '@fireflytrack/health';
 import {StaticShareLimiter} from '@fireflytrack/limits';
+import {FixedMembership} from '@fireflytrack/membership';
 import {TableOnceRegistry} from '@fireflytrack/once';
 import {
   HttpObjectStore,
@@ -24,6 +25,7 @@
   createLogger,
 } from '@fireflytrack/telemetry';
 import type {Logger, Metrics} from '@fireflytrack/telemetry';
+import {MemoryNetwork} from '@fireflytrack/wire';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
 import type {Settings} from './settings.js';
@@ -49,6 +51,11 @@
       fields: {instance: instance.id, zone: instance.availability_zone},
     });
     this.metrics = createMetrics(settings, this.logger);
+    const self = {
+      instanceId: instance.id,
+      availabilityZone: instance.availability_zone,
+      region: instance.region,
+    };
     this.client = HttpPlatformClient.create({
       baseUrl: platform.url,
       timeoutMs: platform.timeout_ms,
@@ -63,7 +70,13 @@
       keys: this.configuration,
       limiter: StaticShareLimiter.create(this.configuration, 1),
       selector: RandomSelector.create(this.configuration),
-      once: TableOnceRegistry.create(table),
+      // Stopgap until the peer network and the membership are wired here.
+      once: TableOnceRegistry.create({
+        table,
+        network: MemoryNetwork.create().join(self),
+        membership: FixedMembership.create(self, []),
+        logger: this.logger,
+      }),
       forwarder: this.forwarder,
       logger: this.logger,
       metrics: this.metrics,
--- a/packages/once/src/index.ts
+++ b/packages/once/src/index.ts
@@ -6,3 +6,4 @@
   StoredAnswer,
 } from './lib/once-registry.js';
 export {TableOnceRegistry} from './lib/table-once-registry.js';
+export type {TableOnceRegistryOptions} from './lib/table-once-registry.js';
--- /dev/null
+++ b/packages/once/src/lib/claim-status.ts
@@ -0,0 +1,90 @@
+/** The request `once/status`: what became of a claim at its claimer. */
+import type {PeerNetwork} from '@fireflytrack/wire';
+import {z} from 'zod';
+import type {OwnClaim} from './own-claim.js';
+
+const STATUS_KIND = 'once/status';
+/** The claimer holds the answer back this long while the claim runs. */
+const MAX_HOLD_MS = 500;
+/** Time for the way to the claimer and back, several region round trips. */
+const ANSWER_MARGIN_MS = 500;
+
+const statusRequestSchema = z.object({
+  claimId: z.string(),
+  holdMs: z.number().min(0),
+});
+
+const answerSchema = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.string()),
+  body: z.custom<Uint8Array>(value => value instanceof Uint8Array),
+});
+
+const claimStatusSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('running')}),
+  z.object({kind: z.literal('not-run')}),
+  z.object({kind: z.literal('done'), answer: answerSchema}),
+  z.object({kind: z.literal('gone')}),
+  z.object({kind: z.literal('unknown')}),
+  /** The claim is stored and forgotten, or was never made here. */
+  z.object({kind: z.literal('no-record')}),
+]);
+export type ClaimStatus = z.infer<typeof claimStatusSchema>;
+
+export class ClaimStatusExchange {
+  private constructor(
+    private readonly network: PeerNetwork,
+    private readonly claims: ReadonlyMap<string, OwnClaim>,
+  ) {
+    network.onRequest(STATUS_KIND, async (_, payload) => {
+      const {claimId, holdMs} = statusRequestSchema.parse(payload);
+      return this.ownStatus(claimId, Math.min(holdMs, MAX_HOLD_MS));
+    });
+  }
+
+  /** `claims` are the claims of this instance by claim id. */
+  static create(
+    network: PeerNetwork,
+    claims: ReadonlyMap<string, OwnClaim>,
+  ): ClaimStatusExchange {
+    return new ClaimStatusExchange(network, claims);
+  }
+
+  /**
+   * Asks the claimer, which waits a little while the claim runs. Undefined
+   * when no answer came.
+   */
+  async ask(
+    claimer: string,
+    claimId: string,
+    remainingMs: number,
+  ): Promise<ClaimStatus | undefined> {
+    const holdMs = Math.max(0, Math.min(MAX_HOLD_MS, remainingMs));
+    const {network} = this;
+    if (claimer === network.self.instanceId) {
+      return this.ownStatus(claimId, holdMs);
+    }
+    const timeoutMs = Math.min(holdMs + ANSWER_MARGIN_MS, remainingMs);
+    const payload = {claimId, holdMs};
+    const answer = await network.request(
+      claimer,
+      STATUS_KIND,
+      payload,
+      timeoutMs,
+    );
+    if (answer.err) return undefined;
+    const status = claimStatusSchema.safeParse(answer.val);
+    return status.success ? status.data : undefined;
+  }
+
+  private async ownStatus(
+    claimId: string,
+    holdMs: number,
+  ): Promise<ClaimStatus> {
+    const claim = this.claims.get(claimId);
+    if (!claim) return {kind: 'no-record'};
+    await claim.whenSettled(holdMs);
+    const {state} = claim;
+    return state.kind === 'claiming' ? {kind: 'running'} : state;
+  }
+}
--- a/packages/proofs/src/lib/seeds.ts
+++ b/packages/proofs/src/lib/seeds.ts
@@ -26,6 +26,11 @@
   runsPerSeed: number,
 ): Promise<void> {
   for (const seed of seeds) {
-    await fc.assert(property, {seed, numRuns: runsPerSeed});
+    const includeErrorInReport = true;
+    await fc.assert(property, {
+      seed,
+      numRuns: runsPerSeed,
+      includeErrorInReport,
+    });
   }
 }
