--- a/packages/health/src/lib/pooled-selector.ts
+++ b/packages/health/src/lib/pooled-selector.ts
@@ -57,6 +57,9 @@
 // saves most of a period of the time to detect.
 const EVALUATE_MS = 50;
 const NO_SERVER_RETRY_MS = 1000;
+// A request on its way between regions (8 ms each way) uses no slot yet; twice
+// the slots keep the servers busy meanwhile.
+const IN_FLIGHT_PER_SLOT = 2;
 
 export class PooledSelector implements ServerSelector {
   readonly retries = RetryBudget.create();
@@ -135,6 +138,18 @@
     return Math.max(0, Math.floor(unused), Math.floor(share - here));
   }
 
+  /**
+   * Requests of the service that this instance may have in flight: what the
+   * peers leave of all slots, but at least its even share.
+   */
+  inFlightLimit(serviceName: string): number {
+    const health = this.services.get(serviceName);
+    if (!health) return 1;
+    const total = health.rotation.capacitySlots() * IN_FLIGHT_PER_SLOT;
+    const left = total - health.outstandingAtPeers();
+    return Math.max(1, Math.floor(left), Math.ceil(total / this.liveInstances));
+  }
+
   state(): ServiceState[] {
     return [...this.services.values()].map(describeService);
   }
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -10,3 +10,4 @@
 export {FakeServer, NO_FAULTS} from './lib/health-fake-server.js';
 export type {FakeServerFaults} from './lib/health-fake-server.js';
 export * from './lib/health-checkers.js';
+export {allOnceProperties, onceRun, onceRuns} from './lib/once-runs.js';
