--- /dev/null
+++ b/packages/proofs/bin/soak.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {runSoak} from '../dist/index.js';
+
+await runSoak(process.argv);
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -11,3 +11,5 @@
 export type {FakeServerFaults} from './lib/health-fake-server.js';
 export * from './lib/health-checkers.js';
 export {allOnceProperties, onceRun, onceRuns} from './lib/once-runs.js';
+export {ALL_RUNS} from './lib/all-runs.js';
+export {runSoak} from './lib/soak.js';
