--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -37,6 +37,7 @@
 const FLIGHT_CHECK_MS = 20;
 // Peers free slots without telling this instance more often.
 const QUEUE_REFRESH_MS = 50;
+const GAUGE_PERIOD_MS = 10_000;
 
 export class Daemon {
   readonly dump = StateDump.create();
@@ -54,6 +55,7 @@
   private readonly once: TableOnceRegistry;
   private readonly queue: FairQueue;
   private queueTimer: NodeJS.Timeout | undefined;
+  private gaugeTimer: NodeJS.Timeout | undefined;
   private readonly forwarder = Forwarder.create();
   private readonly requestPath: RequestPath;
   private readonly gateway: EntryGateway;
@@ -148,6 +150,7 @@
     this.selector.start();
     this.once.start();
     this.queueTimer = setInterval(() => this.queue.refresh(), QUEUE_REFRESH_MS);
+    this.gaugeTimer = setInterval(() => this.reportGauges(), GAUGE_PERIOD_MS);
     await this.broker.start();
     this.logger.info('listening', {port: this.settings.entry.port});
   }
@@ -167,6 +170,7 @@
     await this.finishRequests(finish_within_ms);
     await this.broker.stop();
     clearInterval(this.queueTimer);
+    clearInterval(this.gaugeTimer);
     this.selector.stop();
     await this.once.stop();
     await this.limiter.stop();
@@ -194,6 +198,18 @@
     }
   }
 
+  private reportGauges(): void {
+    const {metrics, configuration, membership} = this;
+    metrics.gauge('requests_in_flight', this.requestPath.requestsInFlight);
+    metrics.gauge(
+      'configuration_version',
+      configuration.current()?.version ?? 0,
+    );
+    metrics.gauge('peers', membership.liveIds().length - 1);
+    const ageMs = configuration.ageMs();
+    if (Number.isFinite(ageMs)) metrics.gauge('freshness_age_ms', ageMs);
+  }
+
   private isReady(): boolean {
     return !this.stopping && this.gate.state() === 'serving';
   }
--- a/packages/entry/src/lib/request-path.ts
+++ b/packages/entry/src/lib/request-path.ts
@@ -158,6 +158,7 @@
         return {code: 'bad_request', message};
       }
     }
+    this.countWhenEnded(call);
     const forward = await forwardRequestOf(call);
     if (forward.err) return forward.val;
     const attempts = Attempts.create(call, forward.val, this.optionsFor(route));
@@ -257,6 +258,25 @@
     return refusal;
   }
 
+  private countWhenEnded(call: Call): void {
+    const {metrics, logger} = this.options;
+    const {response, requestId, route, holder} = call;
+    const startedAtMs = performance.now();
+    response.once('close', () => {
+      const latencyMs = performance.now() - startedAtMs;
+      const status = response.statusCode;
+      const whole = response.writableFinished;
+      const outcome = whole ? `${Math.floor(status / 100)}xx` : 'broken';
+      const team = holder.teamName;
+      const {service} = route;
+      metrics.count('requests', {service, team, outcome});
+      metrics.timing('request_ms', latencyMs, {service});
+      if (!logger.isDebugEnabled()) return;
+      const fields = {requestId, team, route: route.name, status, latencyMs};
+      logger.debug(whole ? 'answered' : 'answer broken off', fields);
+    });
+  }
+
   private optionsFor(route: Call['route']): AttemptsOptions {
     const {selector, forwarder, retries} = this.options;
     const connections = this.connectionsByService.get(route.service) ?? 1;
