Verify a single peer's word that a backend server drains

Cause: an instance followed peers only when two said that a server drains, so each further instance still sent it one request, however late. Change: on one peer's word the instance asks the server's health endpoint, at most every 500 ms, and drains it when the server agrees. A wrong peer alone still takes nothing out.

--- a/packages/health/src/lib/return-policy.ts
+++ b/packages/health/src/lib/return-policy.ts
@@ -19,6 +19,8 @@
 const MIN_TELLERS_OF_EJECTION = 3;
 // One peer may be wrong or lying about a draining server.
 const MIN_TELLERS_OF_DRAINING = 2;
+// A probe costs the server 25 ms of a slot, and its health answer lags.
+const DRAIN_ASK_MS = 500;
 
 export class ReturnPolicy {
   private constructor(private readonly options: ReturnPolicyOptions) {}
@@ -30,15 +32,19 @@
   /** To be called once a period. */
   apply(health: ServiceHealth, liveInstances: number): void {
     for (const server of health.servers.values()) {
-      if (server.isOut()) this.considerReturn(health, server);
+      if (server.isOut()) {
+        this.considerReturn(health, server);
+        continue;
+      }
+      if (takeProbeResult(server) === 'draining') health.rotation.drain(server);
       else this.followPeers(health, server, liveInstances);
     }
   }
 
   private considerReturn(health: ServiceHealth, server: ServerHealth): void {
-    if (server.probeResult) {
-      applyProbe(health, server, server.probeResult);
-      server.probeResult = undefined;
+    const probed = takeProbeResult(server);
+    if (probed) {
+      applyProbe(health, server, probed);
       return;
     }
     if (performance.now() < server.readmitAtMs || server.probing) return;
@@ -65,6 +71,14 @@
     this.options.logger.debug('probe', {server: server.serverId, result});
   }
 
+  /** Asks the server itself whether it drains, as one peer says. */
+  private verifyDraining(server: ServerHealth): void {
+    const nowMs = performance.now();
+    if (server.probing || nowMs < server.drainAskedAtMs + DRAIN_ASK_MS) return;
+    server.drainAskedAtMs = nowMs;
+    void this.ask(server);
+  }
+
   /** Lets a new instance learn what the others of its region took out. */
   private followPeers(
     health: ServiceHealth,
@@ -81,6 +95,7 @@
       rotation.holdOut(server);
       return;
     }
+    if (draining.length > 0) this.verifyDraining(server);
     const {region} = health.options;
     const ejecting = reports.tellersOf(serverId, ['ejected'], region);
     if (ejecting.length < MIN_TELLERS_OF_EJECTION) return;
@@ -91,6 +106,12 @@
   }
 }
 
+function takeProbeResult(server: ServerHealth): ProbeResult | undefined {
+  const result = server.probeResult;
+  server.probeResult = undefined;
+  return result;
+}
+
 function applyProbe(
   health: ServiceHealth,
   server: ServerHealth,
--- a/packages/health/src/lib/server-health.ts
+++ b/packages/health/src/lib/server-health.ts
@@ -34,6 +34,8 @@
   /** From when on a probe may bring it back. */
   readmitAtMs = 0;
   probing = false;
+  /** When this instance last asked the server because a peer said so. */
+  drainAskedAtMs = -Infinity;
   /** Answer of the last probe, until the next period acts on it. */
   probeResult: ProbeResult | undefined;
   peerOutstanding = 0;
