--- a/packages/configuration/src/lib/configuration-distribution.ts
+++ b/packages/configuration/src/lib/configuration-distribution.ts
@@ -8,7 +8,6 @@
  */
 import type {FreshnessEvidence, Membership} from '@fireflytrack/membership';
 import type {Result} from '@fireflytrack/result';
-import type {Logger} from '@fireflytrack/telemetry';
 import type {PeerNetwork} from '@fireflytrack/wire';
 import type {ConfigurationRepository} from './configuration-repository.js';
 import type {
@@ -17,6 +16,7 @@
 } from './configuration-source.js';
 import type {Holdings} from './distribution-messages.js';
 import {HeldState} from './held-state.js';
+import type {DistributionLogger} from './held-state.js';
 import type {KeyRepository} from './key-repository.js';
 import type {KeyError, KeyHolder, KeyStore} from './key-store.js';
 import {PeerExchange} from './peer-exchange.js';
@@ -30,7 +30,7 @@
   network: PeerNetwork;
   membership: Membership;
   evidence: FreshnessEvidence;
-  logger: Logger;
+  logger: DistributionLogger;
   storeRegion: string;
   /** Age of the evidence over which the instance refuses to serve. */
   freshnessLimitMs: number;
@@ -61,7 +61,7 @@
     this.held = HeldState.create(logger);
     const isReady = () => this.isReady();
     this.versionEvidence = VersionEvidence.create({
-      region: network.self.region,
+      membership,
       storeRegion,
       holds: holdings => this.held.holds(holdings),
       isReady,
--- a/packages/configuration/src/lib/held-state.ts
+++ b/packages/configuration/src/lib/held-state.ts
@@ -3,7 +3,6 @@
  * something, versions only grow and withdrawals only accumulate.
  */
 import type {Result} from '@fireflytrack/result';
-import type {Logger} from '@fireflytrack/telemetry';
 import type {
   ConfigurationSource,
   VersionedConfiguration,
@@ -14,6 +13,12 @@
 import type {KeySet, VersionedText} from './stored-rows.js';
 import {VersionChain} from './version-chain.js';
 
+/** The part of a winston logger that the distribution uses. */
+export interface DistributionLogger {
+  info(message: string, fields?: object): unknown;
+  error(message: string, fields?: object): unknown;
+}
+
 /** Told right after this instance took something new. */
 export interface NewsListener {
   /** `withdrawn` are the key ids that are withdrawn from now on. */
@@ -29,9 +34,9 @@
   private newsListener: NewsListener | undefined;
   private inUse: VersionedConfiguration | undefined;
 
-  private constructor(private readonly logger: Logger) {}
+  private constructor(private readonly logger: DistributionLogger) {}
 
-  static create(logger: Logger): HeldState {
+  static create(logger: DistributionLogger): HeldState {
     return new HeldState(logger);
   }
 
--- a/packages/configuration/src/lib/key-ring.ts
+++ b/packages/configuration/src/lib/key-ring.ts
@@ -16,6 +16,11 @@
 // known one with a wrong secret.
 const NO_SECRET_HASH = Buffer.alloc(32);
 
+// Shared, because creating an `Err` captures a stack trace, which would make a
+// refused key cost many times an accepted one.
+const UNKNOWN: Result<KeyHolder, KeyError> = Err({kind: 'unknown'});
+const WITHDRAWN: Result<KeyHolder, KeyError> = Err({kind: 'withdrawn'});
+
 export class KeyRing {
   /** Version of the newest key set merged so far; 0 before the first. */
   version = 0;
@@ -47,13 +52,13 @@
 
   authenticate(presentedKey: string): Result<KeyHolder, KeyError> {
     const key = parseTeamKey(presentedKey);
-    if (!key) return Err({kind: 'unknown'});
+    if (!key) return UNKNOWN;
     const entry = this.entries.get(key.keyId);
     const presented = createHash('sha256').update(key.secret).digest();
     const stored = entry?.secretHash ?? NO_SECRET_HASH;
     const matches = timingSafeEqual(presented, stored);
-    if (!entry || !matches) return Err({kind: 'unknown'});
-    if (this.withdrawn.has(key.keyId)) return Err({kind: 'withdrawn'});
+    if (!entry || !matches) return UNKNOWN;
+    if (this.withdrawn.has(key.keyId)) return WITHDRAWN;
     return Ok({keyId: key.keyId, teamName: entry.record.teamName});
   }
 }
--- a/packages/configuration/src/lib/store-polling.ts
+++ b/packages/configuration/src/lib/store-polling.ts
@@ -4,7 +4,6 @@
  */
 import type {FreshnessEvidence, Membership} from '@fireflytrack/membership';
 import {rankByRendezvous} from '@fireflytrack/membership';
-import type {Logger} from '@fireflytrack/telemetry';
 import type {ConfigurationRepository} from './configuration-repository.js';
 import type {HeldState} from './held-state.js';
 import type {KeyRepository} from './key-repository.js';
@@ -17,8 +16,6 @@
   keys: KeyRepository;
   membership: Membership;
   evidence: FreshnessEvidence;
-  logger: Logger;
-  storeRegion: string;
   held: HeldState;
   versionEvidence: VersionEvidence;
 }
@@ -70,7 +67,7 @@
     if (tookMs > READ_TIMEOUT_MS + PAUSE_MS) return;
     if (results.some(result => result === 'failed')) {
       this.options.evidence.recordRead(false, sentAtMs);
-      this.options.versionEvidence.recordFailedRead(sentAtMs, this.isAlone());
+      this.options.versionEvidence.recordFailedRead(sentAtMs);
     } else if (results.every(result => result === 'complete')) {
       this.completeReads += 1;
       this.options.evidence.recordRead(true, sentAtMs);
@@ -134,16 +131,4 @@
     const ranked = rankByRendezvous('withdrawals', membership.liveIds());
     return Math.max(0, ranked.indexOf(instanceId));
   }
-
-  /**
-   * Whether no other instance could witness an outage of the store. An instance
-   * that never read the store does not count itself as such: it may hold an old
-   * version and be the only one that cannot reach the store.
-   */
-  private isAlone(): boolean {
-    if (this.completeReads === 0) return false;
-    const {membership, storeRegion} = this.options;
-    const others = membership.others();
-    return others.every(other => other.identity.region !== storeRegion);
-  }
 }
--- a/packages/configuration/src/lib/version-evidence.ts
+++ b/packages/configuration/src/lib/version-evidence.ts
@@ -7,11 +7,12 @@
  * No clocks are compared: a peer's message counts from the time at which the
  * own message that it echoes was sent.
  */
+import type {Membership} from '@fireflytrack/membership';
 import type {PeerIdentity} from '@fireflytrack/wire';
 import type {Holdings, VersionsMessage} from './distribution-messages.js';
 
 export interface VersionEvidenceOptions {
-  region: string;
+  membership: Membership;
   storeRegion: string;
   /** Whether this instance holds at least what `holdings` name. */
   holds(holdings: Holdings): boolean;
@@ -30,9 +31,12 @@
 export class VersionEvidence {
   /** Whether the last read of the store got no answer. */
   readsFailing = false;
+  private everRead = false;
   private evidenceAtMs = -Infinity;
   private readonly waiting = new Map<string, WaitingEvidence[]>();
   private readonly heardSentAtMs = new Map<string, number>();
+  /** Failing reads that other instances of the store's region report. */
+  private readonly witnesses = new Map<string, WaitingEvidence>();
 
   private constructor(private readonly options: VersionEvidenceOptions) {}
 
@@ -49,16 +53,20 @@
   /** The store answered a read sent then, and all it named is held here. */
   recordCompleteRead(sentAtMs: number): void {
     this.readsFailing = false;
+    this.everRead = true;
     this.advance(sentAtMs);
   }
 
   /**
-   * A read sent then got no answer. In the store's region that counts as
-   * evidence when no other instance runs there that could bear witness.
+   * A read sent then got no answer. That is evidence by itself only when no
+   * other instance of the store's region could bear witness, and not for an
+   * instance that never read the store: it may hold an old version and be the
+   * only one that cannot reach the store.
    */
-  recordFailedRead(sentAtMs: number, aloneInRegion: boolean): void {
+  recordFailedRead(sentAtMs: number): void {
     this.readsFailing = true;
-    if (aloneInRegion && this.inStoreRegion()) this.advance(sentAtMs);
+    const alone = this.everRead && this.requiredWitnesses() === 0;
+    if (alone && this.mayWitness()) this.advance(sentAtMs);
   }
 
   /** Time stamp of the peer's newest message, to be echoed to it. */
@@ -67,25 +75,25 @@
   }
 
   recordMessage(from: PeerIdentity, message: VersionsMessage): void {
-    this.heardSentAtMs.set(from.instanceId, message.sentAtMs);
+    const {instanceId} = from;
+    this.heardSentAtMs.set(instanceId, message.sentAtMs);
     const echoedAtMs = message.echoedSentAtMs;
     if (echoedAtMs === undefined || echoedAtMs > performance.now()) return;
-    const witnessed =
-      this.options.isReady() &&
-      this.readsFailing &&
-      message.readsFailing &&
-      this.inStoreRegion() &&
-      from.region === this.options.storeRegion;
-    const ageMs = witnessed ? 0 : message.ageMs;
-    if (ageMs === undefined) return;
-    const list = this.waiting.get(from.instanceId) ?? [];
-    list.push({atMs: echoedAtMs - ageMs, holdings: message});
-    this.waiting.set(from.instanceId, list.slice(-MAX_WAITING));
+    if (!message.readsFailing) {
+      this.witnesses.delete(instanceId);
+    } else if (from.region === this.options.storeRegion) {
+      this.witnesses.set(instanceId, {atMs: echoedAtMs, holdings: message});
+    }
+    if (message.ageMs === undefined) return;
+    const list = this.waiting.get(instanceId) ?? [];
+    list.push({atMs: echoedAtMs - message.ageMs, holdings: message});
+    this.waiting.set(instanceId, list.slice(-MAX_WAITING));
   }
 
   forget(instanceId: string): void {
     this.waiting.delete(instanceId);
     this.heardSentAtMs.delete(instanceId);
+    this.witnesses.delete(instanceId);
   }
 
   private settle(): void {
@@ -99,13 +107,39 @@
       if (left.length > 0) this.waiting.set(instanceId, left);
       else this.waiting.delete(instanceId);
     }
+    this.settleWitnesses();
   }
 
-  private advance(atMs: number): void {
-    this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
+  /**
+   * An outage of the store counts from the time at which more than half of the
+   * region's instances reported it. A single witness would let two instances
+   * that lost only their own way to the store confirm each other.
+   */
+  private settleWitnesses(): void {
+    if (!this.readsFailing || !this.mayWitness()) return;
+    const required = this.requiredWitnesses();
+    if (required === 0) return;
+    const times = [...this.witnesses.values()]
+      .filter(witness => this.options.holds(witness.holdings))
+      .map(witness => witness.atMs)
+      .sort((a, b) => b - a);
+    this.advance(times[required - 1] ?? -Infinity);
   }
 
-  private inStoreRegion(): boolean {
-    return this.options.region === this.options.storeRegion;
+  private requiredWitnesses(): number {
+    const {membership, storeRegion} = this.options;
+    const others = membership
+      .others()
+      .filter(other => other.identity.region === storeRegion);
+    return Math.ceil(others.length / 2);
+  }
+
+  private mayWitness(): boolean {
+    const {membership, storeRegion} = this.options;
+    return membership.self.region === storeRegion && this.options.isReady();
+  }
+
+  private advance(atMs: number): void {
+    this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
   }
 }
