Check the digest of a streamed answer before its last bytes are sent

Cause: a streamed answer whose digest did not match had already been sent whole, so breaking the connection at the end had no effect.

--- a/packages/entry/src/lib/attempt-handler.ts
+++ b/packages/entry/src/lib/attempt-handler.ts
@@ -36,6 +36,7 @@
   private chunks: Buffer[] = [];
   private heldBytes = 0;
   private streaming = false;
+  private lastChunk: Buffer | undefined;
 
   private constructor(
     private readonly options: AttemptOptions,
@@ -119,7 +120,7 @@
       return;
     }
     if (this.streaming) {
-      this.response.end();
+      this.response.end(this.lastChunk);
       this.settle({kind: 'streamed', status: this.status});
       return;
     }
@@ -161,11 +162,17 @@
     this.write(controller, held);
   }
 
+  /**
+   * Sends a chunk when the next one has arrived: the caller must not have all
+   * bytes before the digest over all of them is checked.
+   */
   private write(
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (this.response.write(chunk)) return;
+    const ready = this.lastChunk;
+    this.lastChunk = chunk;
+    if (ready === undefined || this.response.write(ready)) return;
     controller.pause();
     this.response.once('drain', () => controller.resume());
   }
--- a/packages/entry/src/test/answers_test.ts
+++ b/packages/entry/src/test/answers_test.ts
@@ -6,8 +6,13 @@
 import type {Server, Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {request} from 'undici';
-import {KEY, fixedAnswer, rawServer, startEntry} from './entry-fixture.js';
-import type {EntryFixture} from './entry-fixture.js';
+import {
+  KEY,
+  fixedAnswer,
+  rawServer,
+  startEntry,
+} from '../testing/entry-fixture.js';
+import type {EntryFixture} from '../testing/entry-fixture.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain';
 const servers: Server[] = [];
--- a/packages/entry/src/test/bad-input_test.ts
+++ b/packages/entry/src/test/bad-input_test.ts
@@ -4,8 +4,13 @@
 import type {Server} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {request} from 'undici';
-import {KEY, fixedAnswer, rawServer, startEntry} from './entry-fixture.js';
-import type {EntryFixture} from './entry-fixture.js';
+import {
+  KEY,
+  fixedAnswer,
+  rawServer,
+  startEntry,
+} from '../testing/entry-fixture.js';
+import type {EntryFixture} from '../testing/entry-fixture.js';
 
 let entry: EntryFixture;
 let backend: Server;
--- a/packages/entry/src/test/entry-fixture.ts
+++ b/packages/entry/src/testing/entry-fixture.ts
@@ -60,7 +60,15 @@
   close(): Promise<void>;
 }
 
-export async function startEntry(ports: number[]): Promise<EntryFixture> {
+export interface EntryFixtureOptions {
+  /** Replaces the forwarder, for comparisons. */
+  forwarder?: Forwarder;
+}
+
+export async function startEntry(
+  ports: number[],
+  options: EntryFixtureOptions = {},
+): Promise<EntryFixture> {
   const targets = ports.map(port => `127.0.0.1:${port}@zone-a`).join(', ');
   const configuration = parseConfigurationText(text(targets), 'test').unwrap();
   const current = {version: 1, configuration};
@@ -87,7 +95,7 @@
     membership: FixedMembership.create(self, []),
     logger,
   });
-  const forwarder = Forwarder.create();
+  const forwarder = options.forwarder ?? Forwarder.create();
   const requestPath = RequestPath.create({
     source,
     keys,
