--- /dev/null
+++ b/packages/cli/src/test/command-line_test.ts
@@ -0,0 +1,181 @@
+/**
+ * Guards against stack traces, wrong exit codes and undocumented ones, by the
+ * real command line against a real instance over HTTP.
+ */
+import {LocalFleet} from '@fireflytrack/stand-ins';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {execFile} from 'node:child_process';
+import {
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {parseConfigurationText} from '@fireflytrack/configuration';
+import {EXIT_CODES} from '../lib/exit-codes.js';
+
+const root = fileURLToPath(new URL('../../../../', import.meta.url));
+const binary = join(root, 'packages/cli/bin/fireflytrack.js');
+const example = join(root, 'examples/tunisia.ini');
+const TOKEN = 'administration-token-of-the-demo';
+
+interface Ran {
+  code: number;
+  stdout: string;
+  stderr: string;
+}
+
+let folder = '';
+let fleet: LocalFleet;
+let url = '';
+
+before(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'fireflytrack-cli-'));
+  const zone = {availabilityZone: 'nord-1', region: 'nord'};
+  fleet = await LocalFleet.create({zones: [zone], storeRegion: 'nord'});
+  url = fleet.instances[0]!.adminUrl;
+  for (let attempt = 0; attempt < 50; attempt += 1) {
+    if ((await run('status')).code === 0) return;
+  }
+});
+
+after(async () => {
+  await fleet.stop();
+  rmSync(folder, {recursive: true});
+});
+
+function run(...args: string[]): Promise<Ran> {
+  const env = {
+    ...process.env,
+    FIREFLYTRACK_URL: url,
+    FIREFLYTRACK_TOKEN: TOKEN,
+  };
+  return new Promise(resolve => {
+    execFile(process.execPath, [binary, ...args], {env}, (error, out, err) => {
+      const code = error ? Number(error.code) : 0;
+      resolve({code, stdout: out.trim(), stderr: err.trim()});
+    });
+  });
+}
+
+function fileWith(name: string, content: string | Buffer): string {
+  const file = join(folder, name);
+  writeFileSync(file, content);
+  return file;
+}
+
+describe('fireflytrack check', () => {
+  it('tells any bad file in one line without a stack trace', async () => {
+    mkdirSync(join(folder, 'directory'));
+    const files = [
+      join(folder, 'directory'),
+      join(folder, 'missing'),
+      fileWith('empty', ''),
+      fileWith('binary', Buffer.from([0xff, 0xfe, 0, 1, 10, 0x80])),
+      fileWith('control', '[fleet]\nname = \u001b[31m\u0007\n'),
+      fileWith('long', 'a'.repeat(2_000_000)),
+      fileWith('huge', Buffer.alloc(13 * 1024 * 1024, 10)),
+    ];
+    for (const file of files) {
+      const {code, stderr} = await run('check', file);
+      expect(code).toEqual(EXIT_CODES.invalid);
+      expect(stderr.split('\n').length).toEqual(1);
+      expect(stderr.startsWith(`${file}: section [`)).toEqual(true);
+      expect(stderr.length < 600 + file.length).toEqual(true);
+    }
+  });
+
+  it('never throws for any text', () => {
+    const valid = readFileSync(example, 'utf8');
+    const mutated = fc
+      .tuple(fc.nat(valid.length), fc.nat(40), fc.string({unit: 'binary'}))
+      .map(
+        ([at, cut, put]) => valid.slice(0, at) + put + valid.slice(at + cut),
+      );
+    fc.assert(
+      fc.property(fc.oneof(fc.string({unit: 'binary'}), mutated), text => {
+        const parsed = parseConfigurationText(text, 'file');
+        return parsed.ok || parsed.val.expected !== '';
+      }),
+      {seed: 20261204, numRuns: 500},
+    );
+  });
+
+  it('accepts the examples', async () => {
+    expect((await run('check', example)).code).toEqual(EXIT_CODES.done);
+  });
+});
+
+describe('fireflytrack against an instance', () => {
+  it('applies, shows, compares and lists versions', async () => {
+    const applied = await run('apply', example, '--base', '0', '--wait', '10');
+    expect(applied.code).toEqual(EXIT_CODES.done);
+    expect(applied.stdout.endsWith('in force')).toEqual(true);
+    expect((await run('diff', example)).code).toEqual(EXIT_CODES.done);
+    const text = readFileSync(example, 'utf8').replace('= 44', '= 45');
+    const changed = fileWith('changed.ini', text);
+    const diff = await run('diff', changed);
+    expect(diff.code).toEqual(EXIT_CODES.differs);
+    expect(diff.stdout.includes('+max_instances = 45')).toEqual(true);
+    const conflict = await run('apply', changed, '--base', '0', '--json');
+    expect(conflict.code).toEqual(EXIT_CODES.conflict);
+    expect(JSON.parse(conflict.stdout).currentVersion).toEqual(1);
+    expect((await run('apply', changed, '--change-id', '7')).code).toEqual(0);
+    const history = JSON.parse((await run('history', '--json')).stdout);
+    expect(history.versions[0].changeId).toEqual('7');
+    const first = await run('show', '--config-version', '1');
+    expect(first.stdout).toEqual(readFileSync(example, 'utf8').trim());
+  });
+
+  it('issues, lists and withdraws keys', async () => {
+    const issued = await run('keys', 'issue', 'airport');
+    const keyId = issued.stdout.split('_')[1]!;
+    const unknown = await run('keys', 'issue', 'nobody');
+    expect(unknown.code).toEqual(EXIT_CODES.invalid);
+    const withdrawn = await run('keys', 'withdraw', keyId, '--wait', '5');
+    expect(withdrawn.code).toEqual(EXIT_CODES.done);
+    const {stdout} = await run('keys', 'list');
+    expect(stdout).toEqual(`${keyId}\tairport\twithdrawn`);
+  });
+
+  it('dumps an instance by its id and tells failures apart', async () => {
+    const {instanceId} = fleet.instances[0]!;
+    const dump = JSON.parse((await run('dump', instanceId)).stdout);
+    expect(dump.configuration.ready).toEqual(true);
+    expect((await run('dump', 'nobody')).code).toEqual(EXIT_CODES.failed);
+    const wrong = await run('status', '--token', '1234567890123456');
+    expect(wrong.stderr).toEqual('administration token required');
+    const nowhere = await run('status', '--url', 'http://127.0.0.1:1');
+    expect(nowhere.code).toEqual(EXIT_CODES.unavailable);
+  });
+
+  it('answers a bad body with one clear error', async () => {
+    for (const body of ['{', '[]', '', '{"text": 1}', '"x"']) {
+      const answer = await fetch(`${url}/v1/config`, {
+        method: 'PUT',
+        body,
+        headers: {
+          authorization: `Bearer ${TOKEN}`,
+          'content-type': 'application/json',
+        },
+      });
+      const {kind, error} = (await answer.json()) as Record<string, string>;
+      expect(answer.status).toEqual(400);
+      expect(kind).toEqual('bad-request');
+      expect(error!.length > 5).toEqual(true);
+    }
+  });
+
+  it('keeps the exit codes of the documentation', () => {
+    const page = readFileSync(join(root, 'docs/configuration.md'), 'utf8');
+    for (const code of Object.values(EXIT_CODES)) {
+      expect(page.includes(`\n| ${code} | `)).toEqual(true);
+    }
+  });
+});
