Test a withdrawal by the command line during an outage of the store

Cause: the message and the later storing of such a withdrawal were checked on fakes only, and the daemon's constructor had grown long.

Change: one test takes the platform stand-in down, withdraws a key, sees "not yet stored", brings it back and sees the withdrawal stored. The daemon builds the distribution's options in a function of its own.

Conclusion: nothing changes for callers.

--- a/packages/cli/src/test/command-line_test.ts
+++ b/packages/cli/src/test/command-line_test.ts
@@ -64,6 +64,11 @@
   });
 }
 
+async function setOutage(unavailable: boolean): Promise<void> {
+  const body = JSON.stringify({unavailable});
+  await fetch(`${fleet.platformUrl}/control`, {method: 'POST', body});
+}
+
 function fileWith(name: string, content: string | Buffer): string {
   const file = join(folder, name);
   writeFileSync(file, content);
@@ -144,6 +149,19 @@
     expect(stdout).toEqual(`${keyId}\tairport\twithdrawn`);
   });
 
+  it('accepts a withdrawal while the store is down and stores it', async () => {
+    const keyId = (await run('keys', 'issue', 'airport')).stdout.split('_')[1]!;
+    await setOutage(true);
+    const during = await run('keys', 'withdraw', keyId);
+    expect(during.code).toEqual(EXIT_CODES.done);
+    expect(during.stdout.includes('not yet stored')).toEqual(true);
+    const failed = await run('apply', example, '--base', '2');
+    expect(failed.code).toEqual(EXIT_CODES.unavailable);
+    await setOutage(false);
+    const later = await run('keys', 'withdraw', keyId, '--wait', '5', '--json');
+    expect(JSON.parse(later.stdout).stored).toEqual(true);
+  });
+
   it('dumps an instance by its id and tells failures apart', async () => {
     const {instanceId} = fleet.instances[0]!;
     const dump = JSON.parse((await run('dump', instanceId)).stdout);
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -5,6 +5,7 @@
   ConfigurationRepository,
   KeyRepository,
 } from '@fireflytrack/configuration';
+import type {DistributionOptions} from '@fireflytrack/configuration';
 import {
   AdminApi,
   EntryGateway,
@@ -21,6 +22,7 @@
   HttpPlatformClient,
   HttpTableService,
 } from '@fireflytrack/platform';
+import type {ObjectStore, TableService} from '@fireflytrack/platform';
 import {
   DisabledMetrics,
   StateDump,
@@ -59,28 +61,13 @@
       timeoutMs: platform.timeout_ms,
     });
     const table = HttpTableService.create(this.client);
-    const objects = HttpObjectStore.create(this.client);
-    const identity = {
-      instanceId: instance.id,
-      availabilityZone: instance.availability_zone,
-      region: instance.region,
-    };
-    // No peers yet: each instance knows of itself only and reads the store.
-    const membership = FixedMembership.create(identity, []);
-    const repository = ConfigurationRepository.create(table, objects);
-    const keys = KeyRepository.create(table);
-    const distributionOptions = {
-      repository,
-      keys,
-      network: MemoryNetwork.create().join(identity),
-      membership,
-      evidence: {recordRead: () => undefined, ageMs: () => 0},
-      logger: this.logger,
-      storeRegion: platform.store_region,
-      freshnessLimitMs: settings.freshness.freshness_limit_ms,
-      onIsolation: settings.freshness.on_isolation,
-    };
-    this.configuration = ConfigurationDistribution.create(distributionOptions);
+    const distribution = distributionOptions(
+      settings,
+      table,
+      HttpObjectStore.create(this.client),
+      this.logger,
+    );
+    this.configuration = ConfigurationDistribution.create(distribution);
     this.forwarder = Forwarder.create();
     this.requestPath = RequestPath.create({
       source: this.configuration,
@@ -105,14 +92,11 @@
     });
     AdminApi.create(this.broker, {
       ...admin,
-      repository,
-      keys,
-      changes: ConfigurationChanges.create(
-        this.configuration,
-        distributionOptions,
-      ),
+      repository: distribution.repository,
+      keys: distribution.keys,
+      changes: ConfigurationChanges.create(this.configuration, distribution),
       distribution: this.configuration,
-      membership,
+      membership: distribution.membership,
       instances: HttpInstanceList.create(this.client),
       dump: this.dump,
       isReady: () => this.isReady(),
@@ -164,6 +148,32 @@
   }
 }
 
+function distributionOptions(
+  settings: Settings,
+  table: TableService,
+  objects: ObjectStore,
+  logger: Logger,
+): DistributionOptions {
+  const {instance, platform, freshness} = settings;
+  const identity = {
+    instanceId: instance.id,
+    availabilityZone: instance.availability_zone,
+    region: instance.region,
+  };
+  return {
+    repository: ConfigurationRepository.create(table, objects),
+    keys: KeyRepository.create(table),
+    // No peers yet: each instance knows of itself only and reads the store.
+    network: MemoryNetwork.create().join(identity),
+    membership: FixedMembership.create(identity, []),
+    evidence: {recordRead: () => undefined, ageMs: () => 0},
+    logger,
+    storeRegion: platform.store_region,
+    freshnessLimitMs: freshness.freshness_limit_ms,
+    onIsolation: freshness.on_isolation,
+  };
+}
+
 function createMetrics(settings: Settings, logger: Logger): Metrics {
   const {statsd_host, statsd_port} = settings.metrics;
   if (statsd_host === undefined) return DisabledMetrics.create();
