--- a/packages/membership/src/test/peer-membership_test.ts
+++ b/packages/membership/src/test/peer-membership_test.ts
@@ -7,6 +7,15 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {PeerMembership} from '../lib/peer-membership.js';
 
+/** Faking setImmediate or nextTick would stop the test runner itself. */
+const FAKED = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'Date',
+  'performance',
+] as const;
 const logger = createLogger({level: 'error', silent: true});
 const ids = ['a', 'b', 'c'];
 
@@ -35,7 +44,7 @@
   }
 
   beforeEach(() => {
-    clock = FakeTimers.install();
+    clock = FakeTimers.install({toFake: [...FAKED]});
     network = MemoryNetwork.create({delayMs: () => 5});
     list = MemoryInstanceList.create();
     members = {};
--- a/packages/membership/src/test/table-lease_test.ts
+++ b/packages/membership/src/test/table-lease_test.ts
@@ -7,6 +7,15 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {TableLease} from '../lib/table-lease.js';
 
+/** Faking setImmediate or nextTick would stop the test runner itself. */
+const FAKED = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'Date',
+  'performance',
+] as const;
 const logger = createLogger({level: 'error', silent: true});
 const TTL_MS = 9000;
 
@@ -67,7 +76,7 @@
   };
 
   beforeEach(() => {
-    clock = FakeTimers.install();
+    clock = FakeTimers.install({toFake: [...FAKED]});
     table = MemoryTable.create();
     leases = [];
   });
--- a/packages/once/src/lib/claim-status.ts
+++ b/packages/once/src/lib/claim-status.ts
@@ -59,7 +59,8 @@
     claimId: string,
     remainingMs: number,
   ): Promise<ClaimStatus | undefined> {
-    const holdMs = Math.max(0, Math.min(MAX_HOLD_MS, remainingMs));
+    // Half of the time that is left keeps the rest for the way back.
+    const holdMs = Math.min(MAX_HOLD_MS, Math.ceil(remainingMs / 2));
     const {network} = this;
     if (claimer === network.self.instanceId) {
       return this.ownStatus(claimId, holdMs);
--- /dev/null
+++ b/packages/once/src/lib/once-errors.ts
@@ -0,0 +1,26 @@
+/** The refusals of at-most-once execution. */
+import type {OnceError} from './once-registry.js';
+
+/** Time after which a repeat with the same key is worth a try. */
+const RETRY_AFTER_MS = 1000;
+
+export function notRun(message: string): OnceError {
+  return {kind: 'not-run', message, retryAfterMs: RETRY_AFTER_MS};
+}
+
+export function storeUnavailable(message: string): OnceError {
+  return {kind: 'store-unavailable', message, retryAfterMs: RETRY_AFTER_MS};
+}
+
+export function unknown(message: string): OnceError {
+  return {kind: 'unknown', message};
+}
+
+export function answerGone(): OnceError {
+  return {kind: 'answer-gone', message: 'the answer is no longer kept'};
+}
+
+export function inProgress(): OnceError {
+  const message = 'the request runs and did not end before the deadline';
+  return {kind: 'in-progress', message, retryAfterMs: RETRY_AFTER_MS};
+}
--- a/packages/once/src/lib/table-once-registry.ts
+++ b/packages/once/src/lib/table-once-registry.ts
@@ -14,6 +14,13 @@
 import {ClaimStatusExchange} from './claim-status.js';
 import {ClaimStore} from './claim-store.js';
 import type {ClaimResult, FoundClaim} from './claim-store.js';
+import {
+  answerGone,
+  inProgress,
+  notRun,
+  storeUnavailable,
+  unknown,
+} from './once-errors.js';
 import {OnceHousekeeping} from './once-housekeeping.js';
 import type {
   DispatchOutcome,
@@ -41,6 +48,8 @@
   rowKey: string;
   deadlineAtMs: number;
   dispatch: Dispatch;
+  /** The claim that its claimer last said to be running. */
+  runningClaimId?: string;
 }
 
 /** How a call goes on after it found the row of an earlier claim. */
@@ -50,7 +59,6 @@
   | {kind: 'claim'; ifVersion: number}
   | {kind: 'look'; row: FoundClaim};
 
-const RETRY_AFTER_MS = 1000;
 /** Bounds how old a claim is when its request leaves this instance. */
 const MAX_CLAIM_TO_DISPATCH_MS = 10_000;
 /** The caller waits this long for its outcome to be stored. */
@@ -117,7 +125,7 @@
     if (refusal) return Err(refusal);
     const deadlineAtMs = performance.now() + request.deadlineMs;
     const rowKey = rowKeyOf(request);
-    const call = {request, rowKey, deadlineAtMs, dispatch};
+    const call: Call = {request, rowKey, deadlineAtMs, dispatch};
     let step: RepeatStep = {kind: 'claim', ifVersion: 0};
     while (step.kind !== 'return') {
       step =
@@ -217,6 +225,7 @@
     const status = await this.exchange.ask(claimer, claimId, remainingMs(call));
     switch (status?.kind) {
       case 'running':
+        call.runningClaimId = claimId;
         return {kind: 'look', row: found};
       case 'not-run':
         return {kind: 'claim', ifVersion: found.version};
@@ -233,6 +242,9 @@
 
   /** The claimer told nothing: only a changed row helps. */
   private async lookAgain(call: Call, claimId: string): Promise<RepeatStep> {
+    if (remainingMs(call) <= 0 && call.runningClaimId === claimId) {
+      return refused(inProgress());
+    }
     const reading = this.store.find(call.rowKey);
     const row = await atMost(Math.max(1, remainingMs(call)), reading);
     const unchanged =
@@ -277,24 +289,3 @@
 function refused(error: OnceError): RepeatStep {
   return returned(Err(error));
 }
-
-function notRun(message: string): OnceError {
-  return {kind: 'not-run', message, retryAfterMs: RETRY_AFTER_MS};
-}
-
-function storeUnavailable(message: string): OnceError {
-  return {kind: 'store-unavailable', message, retryAfterMs: RETRY_AFTER_MS};
-}
-
-function unknown(message: string): OnceError {
-  return {kind: 'unknown', message};
-}
-
-function answerGone(): OnceError {
-  return {kind: 'answer-gone', message: 'the answer is no longer kept'};
-}
-
-function inProgress(): OnceError {
-  const message = 'the request runs and did not end before the deadline';
-  return {kind: 'in-progress', message, retryAfterMs: RETRY_AFTER_MS};
-}
--- a/packages/proofs/src/lib/once-backend.ts
+++ b/packages/proofs/src/lib/once-backend.ts
@@ -31,14 +31,16 @@
     private readonly behaviors: readonly BackendBehavior[],
   ) {}
 
-  /** One dispatch, as the forwarder of an instance carries it out. */
+  /**
+   * One dispatch, as the forwarder of an instance carries it out. It sends
+   * even after the deadline, so the registry must not start it too late.
+   */
   async dispatch(
     call: DispatchedCall,
     gate: InstanceGate,
   ): Promise<DispatchOutcome> {
     await gate.pass();
-    const remainingMs = call.deadlineAtMs - performance.now();
-    if (remainingMs <= 0) return {kind: 'not-run', reason: 'deadline'};
+    const remainingMs = Math.max(0, call.deadlineAtMs - performance.now());
     const behavior = this.behaviors[this.dispatches % this.behaviors.length]!;
     this.dispatches += 1;
     const late: DispatchOutcome = {kind: 'unknown', reason: 'no answer'};
--- a/packages/proofs/src/lib/once-clock.ts
+++ b/packages/proofs/src/lib/once-clock.ts
@@ -1,13 +1,21 @@
 /** Simulated time for fleet runs in one process. */
 import FakeTimers from '@sinonjs/fake-timers';
 
-const realSetImmediate = setImmediate;
+/** Faking setImmediate or nextTick would stop the test runner itself. */
+const FAKED = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'Date',
+  'performance',
+] as const;
 /** Wall clock at the start of each run. */
 const START_MS = Date.UTC(2026, 11, 4);
 
 /** Lets every promise callback run that is ready. */
 function settlePromises(): Promise<void> {
-  return new Promise(resolve => realSetImmediate(resolve));
+  return new Promise(resolve => setImmediate(resolve));
 }
 
 /**
@@ -31,7 +39,7 @@
 export async function withSimulatedTime<T>(
   body: (advance: (durationMs: number) => Promise<void>) => Promise<T>,
 ): Promise<T> {
-  const clock = FakeTimers.install({now: START_MS});
+  const clock = FakeTimers.install({now: START_MS, toFake: [...FAKED]});
   try {
     return await body(durationMs => advance(clock, durationMs));
   } finally {
--- a/packages/proofs/src/lib/once-faulty-table.ts
+++ b/packages/proofs/src/lib/once-faulty-table.ts
@@ -54,12 +54,14 @@
       return Err({kind: 'unavailable', message: 'refused'});
     }
     if (kind === 'table-silent') return timeout();
-    const delayMs = kind === 'table-late' ? fault!.effectDelayMs : WAY_MS;
-    const answer = sleep(delayMs).then(effect);
+    const effectDelayMs = kind === 'table-late' ? fault!.effectDelayMs : WAY_MS;
+    const answerDelayMs =
+      kind === 'table-answers-late' ? fault!.effectDelayMs : WAY_MS;
+    const answer = sleep(effectDelayMs).then(effect);
     if (kind === 'table-loses-answers') return timeout();
-    if (delayMs > CLIENT_TIMEOUT_MS) return timeout();
+    if (effectDelayMs + answerDelayMs > CLIENT_TIMEOUT_MS) return timeout();
     const result = await answer;
-    await sleep(WAY_MS);
+    await sleep(answerDelayMs);
     return result;
   }
 }
--- a/packages/proofs/src/lib/once-plan.ts
+++ b/packages/proofs/src/lib/once-plan.ts
@@ -25,6 +25,8 @@
     /** Table calls have no effect and no answer. */
     | 'table-silent'
     | 'table-loses-answers'
+    /** Table calls take effect at once and answer `effectDelayMs` later. */
+    | 'table-answers-late'
     /** Table writes take effect `effectDelayMs` later. */
     | 'table-late';
   /** The fault starts this long after the planned call of this index. */
@@ -74,6 +76,7 @@
     'table-silent',
     'table-loses-answers',
     'table-loses-answers',
+    'table-answers-late',
     'table-late',
     'table-late',
   ),
@@ -84,7 +87,7 @@
   instance,
   peer: instance,
   everywhere: fc.boolean(),
-  effectDelayMs: fc.constantFrom(200, 1100, 2500, 12_000),
+  effectDelayMs: fc.constantFrom(200, 900, 1100, 2500, 12_000),
 });
 
 const behavior = fc.record({
@@ -97,7 +100,7 @@
     'crash-before',
     'crash-after',
   ),
-  runMs: fc.constantFrom(0, 20, 700, 5000, 20_000),
+  runMs: fc.constantFrom(0, 0, 20, 20, 700, 5000, 20_000),
   answerBytes: fc.constantFrom(20, 20, 20, 65_536, 65_537),
 });
 
