Refuse calls whose row cannot be read; test broken frames after the handshake

Cause: a row that is no claim made run reject and left its claim open for good; no test covered a peer that breaks the protocol after it proved the secret. Change: such a claim is abandoned and refused store-unavailable; one test each.

--- a/packages/once/src/lib/table-once-registry.ts
+++ b/packages/once/src/lib/table-once-registry.ts
@@ -154,7 +154,7 @@
     const {requestDigest} = request;
     const claim = OwnClaim.create({rowKey, claimer, requestDigest, ifVersion});
     this.claims.set(claim.claimId, claim);
-    const writing = this.store.claim(claim);
+    const writing = this.store.claim(claim).catch(unresolved);
     const boundMs = Math.min(remainingMs(call), MAX_CLAIM_TO_DISPATCH_MS);
     const result = await atMost(boundMs, writing);
     if (result?.kind === 'won') return this.execute(call, claim);
@@ -256,6 +256,11 @@
   }
 }
 
+/** A row that cannot be read leaves the fate of the claim open. */
+function unresolved(error: Error): ClaimResult {
+  return {kind: 'unresolved', message: error.message};
+}
+
 function remainingMs(call: Call): number {
   return call.deadlineAtMs - performance.now();
 }
--- a/packages/once/src/test/table-once-registry_test.ts
+++ b/packages/once/src/test/table-once-registry_test.ts
@@ -225,6 +225,13 @@
     expect(await stateOf('k')).toEqual('done');
   });
 
+  it('dispatches nothing for a key whose row it cannot read', async () => {
+    const put = {kind: 'put' as const, key: 'once/t/k', ifVersion: 0};
+    await table.batch([{...put, value: 'no claim'}], {atomic: false});
+    expect(await finish(run(a, 'k'))).toEqual('store-unavailable');
+    expect(dispatched).toEqual([]);
+  });
+
   it('refuses new calls while stopping', async () => {
     await finish(a.stop());
     expect(await finish(run(a, 'k'))).toEqual('not-run');
--- a/packages/wire/src/test/tcp-peer-network_test.ts
+++ b/packages/wire/src/test/tcp-peer-network_test.ts
@@ -6,6 +6,8 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {encodeFrame} from '../lib/frame-codec.js';
+import {performHandshake} from '../lib/handshake.js';
+import {PeerConnection} from '../lib/peer-connection.js';
 import {TcpPeerNetwork} from '../lib/tcp-peer-network.js';
 
 const HOST = '127.0.0.1';
@@ -141,6 +143,23 @@
     });
   }
 
+  it('closes the connection of a known peer that breaks the protocol', async () => {
+    const {network: a, lines} = await startNetwork('a');
+    const b = (await startNetwork('b')).network;
+    dial(b, a);
+    const connection = PeerConnection.create(
+      connect({host: HOST, port: a.port}),
+    );
+    cleanups.push(() => connection.destroy());
+    const self = {instanceId: 'c', availabilityZone: 'z', region: 'r'};
+    await performHandshake(connection, self, 'dialer', SECRET);
+    await waitFor(() => a.peers().length === 2);
+    connection.send({type: 'request', requestId: 'not a number'});
+    await waitFor(() => lines.length > 0);
+    expect(lines).toEqual(['peer connection closed: malformed frame']);
+    expect(a.peers().map(peer => peer.instanceId)).toEqual(['b']);
+  });
+
   it('drops an unauthenticated connection that stays silent', async () => {
     const {network: a, lines} = await startNetwork('a');
     const socket = await rawSocket(a);
