Pace borrowing while the fleet is short of tokens

Cause: under 5x overload every answer caused another round of requests, a message per round trip and pair of instances. Change: rounds wait 100 ms while recent answers granted little; waiting requests sleep at least 1 ms; the safety run alternates silence and overload.

--- a/packages/limits/src/lib/borrowing-limiter.ts
+++ b/packages/limits/src/lib/borrowing-limiter.ts
@@ -179,6 +179,7 @@
       this.borrower.returnUnspent(account);
       if (account.demand.isIdle()) continue;
       account.demand.tick(elapsedMs);
+      account.pace.tick();
       this.borrower.borrow(account);
     }
     if (this.ticks % LEVELS_EVERY_TICKS === 0) this.tellLevels(nowMs);
--- a/packages/limits/src/lib/team-account.ts
+++ b/packages/limits/src/lib/team-account.ts
@@ -2,6 +2,7 @@
  * One team at one instance: the owned bucket, the borrowed lots, the requests
  * that wait, and what may be lent.
  */
+import {BorrowPace} from './borrow-pace.js';
 import {BorrowedLots} from './borrowed-lots.js';
 import type {BorrowedLot} from './borrowed-lots.js';
 import {DemandMeter} from './demand-meter.js';
@@ -26,6 +27,7 @@
 
 export class TeamAccount {
   readonly demand = DemandMeter.create();
+  readonly pace = BorrowPace.create();
   readonly lots = BorrowedLots.create();
   readonly peerLevels: PeerLevels;
   /** Tokens asked of peers that have not answered yet. */
--- a/packages/limits/src/lib/token-borrower.ts
+++ b/packages/limits/src/lib/token-borrower.ts
@@ -78,6 +78,7 @@
     if (missing <= 0) return;
     const candidates = this.candidates(account, nowMs);
     if (!this.promising(account, candidates, nowMs)) return;
+    if (!account.pace.tryStart(nowMs)) return;
     for (const ask of planAsks(candidates, missing, this.options.random)) {
       void this.ask(account, ask);
     }
@@ -196,6 +197,7 @@
     } else {
       const {grantedMicro, lendableMicro} = answer.data;
       account.peerLevels.set(peerId, lendableMicro);
+      account.pace.noteAnswer(grantedMicro, wantedMicro);
       if (grantedMicro < wantedMicro) account.shortAnswers += 1;
       const lot = {
         lotId,
--- a/packages/limits/src/lib/waiting-requests.ts
+++ b/packages/limits/src/lib/waiting-requests.ts
@@ -53,7 +53,7 @@
         this.timer = undefined;
         this.onDeadline();
       },
-      Math.max(0, waitMs),
+      Math.max(1, Math.ceil(waitMs)),
     );
   }
 
--- a/packages/proofs/src/lib/limits-safety.ts
+++ b/packages/proofs/src/lib/limits-safety.ts
@@ -31,23 +31,19 @@
   ];
 }
 
+// Buckets of the teams above fill within this time, so that the load which
+// follows finds every token that the fleet may hold.
+const QUIET_MS = 2500;
+
 /** Runs a fleet under load and faults and checks every window. */
 export async function runSafety(options: SafetyRunOptions): Promise<void> {
-  const {seed, durationMs, overload} = options;
+  const {seed, durationMs, faultKinds, faultCount} = options;
   const clock = SimulatedClock.install();
   try {
     const teams = mixedTeams(seed);
     const fleet = LimitsFleet.create({...options, clock, teams});
-    const {faultKinds, faultCount} = options;
     scheduleFaults(fleet, faultKinds, faultCount, durationMs);
-    for (const team of teams) {
-      offerLoad(fleet, {
-        teamName: team.name,
-        requestsPerSecond: team.ratePerSecond * overload,
-        durationMs,
-        skew: fleet.random() < 0.5 ? 0.8 : 0,
-      });
-    }
+    for (const team of teams) scheduleLoad(fleet, team, options);
     await fleet.advance(durationMs);
     for (const team of teams) checkWithinLimits(fleet.history, team);
   } catch (error) {
@@ -56,3 +52,23 @@
     clock.uninstall();
   }
 }
+
+/** Alternates between silence and overload. */
+function scheduleLoad(
+  fleet: LimitsFleet,
+  team: TeamLimits,
+  {overload, durationMs}: SafetyRunOptions,
+): void {
+  let atMs = QUIET_MS;
+  while (atMs < durationMs) {
+    const loadMs = between(fleet.random, 500, 4000);
+    const load = {
+      teamName: team.name,
+      requestsPerSecond: team.ratePerSecond * overload,
+      durationMs: loadMs,
+      skew: fleet.random() < 0.5 ? 0.8 : 0,
+    };
+    setTimeout(() => offerLoad(fleet, load), atMs);
+    atMs += loadMs + between(fleet.random, 0, QUIET_MS);
+  }
+}
--- a/packages/proofs/src/lib/limits-variants.ts
+++ b/packages/proofs/src/lib/limits-variants.ts
@@ -7,9 +7,10 @@
   BorrowingLimiter,
   TokenBucket,
   borrowRequestSchema,
+  ledgerRowSchema,
 } from '@fireflytrack/limits';
-import type {Admission} from '@fireflytrack/limits';
-import type {TableOperation, TableService} from '@fireflytrack/platform';
+import type {Admission, LedgerRow} from '@fireflytrack/limits';
+import type {TableService} from '@fireflytrack/platform';
 import {Ok} from '@fireflytrack/result';
 import type {PeerNetwork, RequestHandler} from '@fireflytrack/wire';
 import type {FleetLimiter, LimiterContext} from './limits-fleet.js';
@@ -51,24 +52,43 @@
   return BorrowingLimiter.create({...context, network});
 }
 
-/** Writes count as done when they are sent, so shares rise too early. */
+/**
+ * An instance uses the even share as soon as it sees that a donor is richer,
+ * before the donor lowered its own share and wrote the ledger.
+ */
 export function sharesRaisedBeforeWritten(
   context: LimiterContext,
 ): FleetLimiter {
-  const {table} = context;
+  const {table, membership} = context;
+  const selfId = membership.self.instanceId;
   const hasty: TableService = {
-    get: key => table.get(key),
-    scan: (prefix, limit) => table.scan(prefix, limit),
-    batch: async (operations, options) => {
-      void table.batch(operations, options);
-      return Ok(operations.map(assumedApplied));
+    get: async key => {
+      const result = await table.get(key);
+      if (result.err || !result.val) return result;
+      const row = ledgerRowSchema.parse(result.val.value);
+      const even = Math.floor(1e6 / membership.liveIds().length);
+      return Ok({...result.val, value: raised(row, selfId, even)});
     },
+    scan: (prefix, limit) => table.scan(prefix, limit),
+    batch: (operations, options) => table.batch(operations, options),
   };
   return BorrowingLimiter.create({...context, table: hasty});
 }
 
-function assumedApplied(operation: TableOperation) {
-  return {applied: true as const, version: operation.ifVersion + 1};
+function raised(row: LedgerRow, selfId: string, parts: number): LedgerRow {
+  const owners = Object.entries(row.owners);
+  const [richestId, most] = owners.sort((a, b) => b[1] - a[1])[0] ?? ['', 0];
+  const own = row.owners[selfId] ?? 0;
+  const missing = Math.min(parts - own, most);
+  if (missing <= 0 || richestId === selfId) return row;
+  return {
+    owners: {
+      ...row.owners,
+      [selfId]: own + missing,
+      [richestId]: most - missing,
+    },
+    freeParts: row.freeParts,
+  };
 }
 
 function withHandler(
