--- /dev/null
+++ b/packages/proofs/src/lib/limits-service.ts
@@ -0,0 +1,103 @@
+/** Service to in-rate demand: wrongful refusals under skew and replacement. */
+import {IdealBucket, checkWithinLimits, countService} from './limits-checker.js';
+import type {ServiceCounts} from './limits-checker.js';
+import {LimitsFleet} from './limits-fleet.js';
+import type {LimitsFleetOptions} from './limits-fleet.js';
+import {offerLoad} from './limits-load.js';
+import {pick} from './limits-random.js';
+import type {TeamLimits} from './mutable-configuration.js';
+import {SimulatedClock} from './simulated-clock.js';
+
+export interface ServiceRunOptions {
+  seed: number;
+  instances: number;
+  teams: readonly TeamLimits[];
+  durationMs: number;
+  /** Requests that each team sends, as a fraction of its rate. */
+  demand: number;
+  /** Fraction of each team's requests that one instance gets. */
+  skew: number;
+  /** An instance is replaced each so often; never if absent. */
+  replaceEveryMs?: number;
+  createLimiter?: LimitsFleetOptions['createLimiter'];
+}
+
+export const SERVICE_TEAMS: readonly TeamLimits[] = [
+  {name: 'small', ratePerSecond: 2, burstTokens: 6},
+  {name: 'middle', ratePerSecond: 40, burstTokens: 40},
+  {name: 'large', ratePerSecond: 300, burstTokens: 300},
+];
+
+// Shares are settled and buckets full after this time.
+const SETTLE_MS = 10_000;
+const ANSWERS_MS = 100;
+
+/** Runs a fleet with in-rate demand and counts what it refuses, by team. */
+export async function runService(
+  options: ServiceRunOptions,
+): Promise<Map<string, ServiceCounts>> {
+  const {teams, durationMs, demand, skew, replaceEveryMs} = options;
+  const clock = SimulatedClock.install();
+  try {
+    const fleet = LimitsFleet.create({...options, clock});
+    await fleet.advance(SETTLE_MS);
+    const fromMs = performance.now();
+    for (const team of teams) {
+      const requestsPerSecond = team.ratePerSecond * demand;
+      const load = {teamName: team.name, requestsPerSecond, durationMs, skew};
+      offerLoad(fleet, load);
+    }
+    if (replaceEveryMs) scheduleReplacements(fleet, replaceEveryMs, durationMs);
+    await fleet.advance(durationMs + ANSWERS_MS);
+    const counts = new Map<string, ServiceCounts>();
+    for (const team of teams) {
+      checkWithinLimits(fleet.history, team);
+      counts.set(team.name, countService(fleet.history, team, fromMs));
+    }
+    return counts;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+/** Wrongful refusals of all teams as a fraction of their requests. */
+export function wrongfulFraction(
+  counts: ReadonlyMap<string, ServiceCounts>,
+): number {
+  let wrongful = 0;
+  let offered = 0;
+  for (const count of counts.values()) {
+    wrongful += count.wrongful;
+    offered += count.offered;
+  }
+  return wrongful / offered;
+}
+
+/** Requests that an ideal bucket would admit if all were offered to it. */
+export function inRateDemand(
+  arrivalsMs: readonly number[],
+  team: TeamLimits,
+): number {
+  const bucket = IdealBucket.create(team);
+  let count = 0;
+  for (const atMs of arrivalsMs) {
+    if (bucket.level(atMs) < 1) continue;
+    bucket.take(atMs);
+    count += 1;
+  }
+  return count;
+}
+
+function scheduleReplacements(
+  fleet: LimitsFleet,
+  everyMs: number,
+  durationMs: number,
+): void {
+  for (let atMs = everyMs; atMs < durationMs; atMs += everyMs) {
+    setTimeout(() => {
+      const leaving = pick(fleet.random, fleet.live());
+      fleet.addInstance();
+      void fleet.stop(leaving);
+    }, atMs);
+  }
+}
