Tell overload, slow links and cold servers from failing ones

Change: evidence of an overload is set aside for good, servers of one region are compared with each other, a slow majority must be far over the limit or beyond chance, and failed checks weigh more than 5xx answers.

--- a/packages/health/src/lib/evidence-frame.ts
+++ b/packages/health/src/lib/evidence-frame.ts
@@ -13,7 +13,7 @@
 
 // Far above what one instance sees of one server in 200 ms.
 const MAX_COUNT = 1_000_000;
-const ENTRY_FIELDS = 11;
+const ENTRY_FIELDS = 12;
 
 const entrySchema = z
   .array(z.number().int().min(0).max(MAX_COUNT))
@@ -75,6 +75,7 @@
     counts.latencySamples,
     counts.slowSamples,
     counts.overdue,
+    counts.verySlowSamples,
   ];
   while (fields.length > 1 && fields.at(-1) === 0) fields.pop();
   return fields;
@@ -95,6 +96,7 @@
       latencySamples: at(8),
       slowSamples: at(9),
       overdue: at(10),
+      verySlowSamples: at(11),
     },
   };
 }
--- a/packages/health/src/lib/evidence-pool.ts
+++ b/packages/health/src/lib/evidence-pool.ts
@@ -1,16 +1,11 @@
 /** Counts of all reporters for one server over a sliding window of 2 s. */
+import type {FaultCounts} from './fault-test.js';
+import type {LatencyCounts} from './latency-test.js';
 import {PERIOD_MS} from './period-counts.js';
 import type {PeriodCounts} from './period-counts.js';
 
 /** Counts as the two tests use them. */
-export interface PooledCounts {
-  successes: number;
-  /** With failed checks. */
-  faults: number;
-  latencySamples: number;
-  /** With requests overdue in flight. */
-  slowSamples: number;
-}
+export type PooledCounts = FaultCounts & LatencyCounts;
 
 export interface ReporterWindow {
   reporterId: string;
@@ -20,6 +15,8 @@
 }
 
 export const WINDOW_PERIODS = 10;
+// One reporter rarely sees more of a server in a few periods.
+const MIN_BAD_LEFT_OUT = 3;
 
 export function currentPeriod(): number {
   return Math.floor(performance.now() / PERIOD_MS);
@@ -29,6 +26,8 @@
   readonly reporters = new Map<string, ReporterWindow>();
   /** Newest period that holds a fault or a slow answer. */
   private lastBadPeriod = -Infinity;
+  /** Evidence up to this period is not held against the server. */
+  excusedPeriod = -Infinity;
 
   static create(): EvidencePool {
     return new EvidencePool();
@@ -37,13 +36,16 @@
   add(reporterId: string, region: string, counts: PeriodCounts): void {
     const period = currentPeriod();
     const slot = this.slotOf(reporterId, region, period);
-    const faults = counts.faults + counts.failedChecks;
+    // Requests that are overdue in flight are samples too.
     const slow = counts.slowSamples + counts.overdue;
     slot.successes += counts.successes;
-    slot.faults += faults;
+    slot.faults += counts.faults;
+    slot.failedChecks += counts.failedChecks;
     slot.latencySamples += counts.latencySamples + counts.overdue;
     slot.slowSamples += slow;
-    if (faults + slow > 0) this.lastBadPeriod = period;
+    slot.verySlowSamples += counts.verySlowSamples;
+    const bad = counts.faults + counts.failedChecks + slow;
+    if (bad > 0) this.lastBadPeriod = period;
   }
 
   /** Whether any fault or slow answer stands in the window. */
@@ -56,14 +58,28 @@
     this.lastBadPeriod = -Infinity;
   }
 
-  /** Counts of all reporters from `firstPeriod` on. */
+  /** Sets the evidence so far aside: it shows an overload, not the server. */
+  excuse(): void {
+    this.excusedPeriod = currentPeriod();
+  }
+
+  /**
+   * Counts of all reporters from `firstPeriod` on, without the most damaging
+   * one if it tells several bad answers: a single reporter must not make a
+   * whole service look overloaded.
+   */
   totalSince(firstPeriod: number): PooledCounts {
     const total = emptyCounts();
-    for (const reporter of this.reporters.values()) {
-      for (const slot of reporter.slots) {
-        if (slot.period >= firstPeriod) addCounts(total, slot);
+    let worst: PooledCounts | undefined;
+    for (const {slots} of this.reporters.values()) {
+      const told = emptyCounts();
+      for (const slot of slots) {
+        if (slot.period >= firstPeriod) addCounts(told, slot);
       }
+      if (badIn(told) > (worst ? badIn(worst) : 0)) worst = told;
+      addCounts(total, told);
     }
+    if (worst && badIn(worst) >= MIN_BAD_LEFT_OUT) addCounts(total, worst, -1);
     return total;
   }
 
@@ -84,12 +100,29 @@
 }
 
 export function emptyCounts(): PooledCounts {
-  return {successes: 0, faults: 0, latencySamples: 0, slowSamples: 0};
+  return {
+    successes: 0,
+    faults: 0,
+    failedChecks: 0,
+    latencySamples: 0,
+    slowSamples: 0,
+    verySlowSamples: 0,
+  };
+}
+
+export function addCounts(
+  sum: PooledCounts,
+  counts: PooledCounts,
+  sign: 1 | -1 = 1,
+): void {
+  sum.successes += sign * counts.successes;
+  sum.faults += sign * counts.faults;
+  sum.failedChecks += sign * counts.failedChecks;
+  sum.latencySamples += sign * counts.latencySamples;
+  sum.slowSamples += sign * counts.slowSamples;
+  sum.verySlowSamples += sign * counts.verySlowSamples;
 }
 
-export function addCounts(sum: PooledCounts, counts: PooledCounts): void {
-  sum.successes += counts.successes;
-  sum.faults += counts.faults;
-  sum.latencySamples += counts.latencySamples;
-  sum.slowSamples += counts.slowSamples;
+function badIn({faults, failedChecks, slowSamples}: PooledCounts): number {
+  return faults + failedChecks + slowSamples;
 }
--- a/packages/health/src/lib/fault-test.ts
+++ b/packages/health/src/lib/fault-test.ts
@@ -1,23 +1,44 @@
-/** The sequential probability ratio test on faults. */
+/**
+ * The sequential probability ratio test on faults.
+ *
+ * Answers that fail the checks weigh more than 5xx answers and timeouts: load
+ * and callers cause some of the latter at healthy servers, but hardly any
+ * truncated or mixed-up answer.
+ */
 
 const HEALTHY_FAULT_RATE = 0.01;
-const FAULTY_FAULT_RATE = 0.2;
+const HEALTHY_FAILED_CHECK_RATE = 0.002;
+// Rate of either at a faulty server.
+const FAULTY_RATE = 0.2;
 // Accepted chances of calling a healthy server faulty and the reverse, for one
 // test. A service is tested several times a second, hence the small first one.
-const FALSE_ALARM = 1e-5;
+const FALSE_ALARM = 1e-4;
 const MISSED_ALARM = 0.01;
 
-const FAULT_EVIDENCE = Math.log(FAULTY_FAULT_RATE / HEALTHY_FAULT_RATE);
-const SUCCESS_EVIDENCE = Math.log(
-  (1 - FAULTY_FAULT_RATE) / (1 - HEALTHY_FAULT_RATE),
-);
+const FAULT_EVIDENCE = Math.log(FAULTY_RATE / HEALTHY_FAULT_RATE);
+const FAILED_CHECK_EVIDENCE = Math.log(FAULTY_RATE / HEALTHY_FAILED_CHECK_RATE);
+const SUCCESS_EVIDENCE = Math.log((1 - FAULTY_RATE) / (1 - HEALTHY_FAULT_RATE));
 
 /** From this log likelihood ratio on, the server counts as faulty. */
 export const FAULTY_THRESHOLD = Math.log((1 - MISSED_ALARM) / FALSE_ALARM);
 /** Down from this one, it counts as healthy. */
 export const HEALTHY_THRESHOLD = Math.log(MISSED_ALARM / (1 - FALSE_ALARM));
 
+export interface FaultCounts {
+  successes: number;
+  faults: number;
+  failedChecks: number;
+}
+
 /** Log likelihood ratio of "faulty" against "healthy". */
-export function faultEvidence(successes: number, faults: number): number {
-  return faults * FAULT_EVIDENCE + successes * SUCCESS_EVIDENCE;
+export function faultEvidence(counts: FaultCounts): number {
+  return (
+    counts.faults * FAULT_EVIDENCE +
+    counts.failedChecks * FAILED_CHECK_EVIDENCE +
+    counts.successes * SUCCESS_EVIDENCE
+  );
+}
+
+export function answersIn(counts: FaultCounts): number {
+  return counts.successes + counts.faults + counts.failedChecks;
 }
--- a/packages/health/src/lib/latency-baseline.ts
+++ b/packages/health/src/lib/latency-baseline.ts
@@ -12,7 +12,8 @@
 
 const SAMPLES_PER_SERVER = 8;
 const SAMPLE_LIFETIME_MS = 4000;
-const MIN_SAMPLES = 3;
+// The median of fewer samples varies so much that a cold server seems slow.
+const MIN_SAMPLES = 5;
 
 export class LatencyBaseline {
   private readonly samples = new Map<string, Sample[]>();
@@ -28,12 +29,6 @@
     samples.push({atMs: performance.now(), latencyMs});
   }
 
-  retain(serverIds: ReadonlySet<string>): void {
-    for (const id of this.samples.keys()) {
-      if (!serverIds.has(id)) this.samples.delete(id);
-    }
-  }
-
   /** Median over `serverIds`, or undefined with too few recent samples. */
   medianMs(serverIds: readonly string[]): number | undefined {
     const oldestMs = performance.now() - SAMPLE_LIFETIME_MS;
--- a/packages/health/src/lib/latency-test.ts
+++ b/packages/health/src/lib/latency-test.ts
@@ -3,33 +3,57 @@
  * times the median of comparable servers by the same reporter.
  *
  * Counting slow answers compares the server's own median with that of the
- * others, so that a few very slow answers decide nothing.
+ * others, so that a few very slow answers decide nothing. A cold server takes
+ * about three times as long, so a bare majority is not enough: part of the
+ * answers must be far over the limit, or the majority must be beyond chance.
  */
 
+export interface LatencyCounts {
+  latencySamples: number;
+  /** Samples over the limit. */
+  slowSamples: number;
+  /** Samples over twice the limit. */
+  verySlowSamples: number;
+}
+
 const SLOW_FACTOR = 3;
+export const VERY_SLOW_MULTIPLE = 2;
 const MIN_SAMPLES = 8;
-const MOST = 0.5;
+const VERY_SLOW_SHARE = 0.3;
+// Standard deviations over an even split; about 1 in 4,000 by chance.
+const MAJORITY_DEVIATIONS = 3.5;
+const MIN_DENYING_SAMPLES = 3;
+const DENYING_SHARE = 0.1;
+const ALIKE_SHARE = 0.2;
 
 /** The factor over the others' median from which an answer is slow. */
 export function slowFactor(halved: boolean): number {
   return halved ? SLOW_FACTOR / 2 : SLOW_FACTOR;
 }
 
-export function isSlow(
-  samples: number,
-  slowSamples: number,
-  halved: boolean,
-): boolean {
+export function isSlow(counts: LatencyCounts, halved: boolean): boolean {
+  const {latencySamples, slowSamples, verySlowSamples} = counts;
   const minSamples = halved ? MIN_SAMPLES / 2 : MIN_SAMPLES;
-  return samples >= minSamples && slowSamples > samples * MOST;
+  const half = latencySamples / 2;
+  if (latencySamples < minSamples || slowSamples <= half) return false;
+  if (verySlowSamples >= latencySamples * VERY_SLOW_SHARE) return true;
+  const deviation = Math.sqrt(latencySamples) / 2;
+  return slowSamples >= half + MAJORITY_DEVIATIONS * deviation;
 }
 
-/** Most answers were fast, by enough of them to say so. */
-export function isFast(samples: number, slowSamples: number): boolean {
-  return samples >= MIN_SAMPLES && slowSamples <= samples * 0.1;
+/** Some answers came and hardly any was slow. */
+export function deniesSlowness(counts: LatencyCounts): boolean {
+  const {latencySamples, slowSamples} = counts;
+  return (
+    latencySamples >= MIN_DENYING_SAMPLES &&
+    slowSamples <= latencySamples * DENYING_SHARE
+  );
 }
 
-/** Whether the samples lean to slow, without a minimum of samples. */
-export function leansSlow(samples: number, slowSamples: number): boolean {
-  return samples > 0 && slowSamples > samples * MOST;
+/**
+ * Whether slow answers are more than single ones. When a whole service slows
+ * down, its servers show this before each of them shows a majority.
+ */
+export function leansSlow({latencySamples, slowSamples}: LatencyCounts) {
+  return slowSamples > 0 && slowSamples >= latencySamples * ALIKE_SHARE;
 }
--- a/packages/health/src/lib/overload.ts
+++ b/packages/health/src/lib/overload.ts
@@ -2,25 +2,57 @@
  * The overload rule: when over half of the servers look bad in the same time,
  * the cause is the load or something that they share, and none is ejected.
  */
-import type {EvidencePool} from './evidence-pool.js';
-import {faultEvidence} from './fault-test.js';
+import {WINDOW_PERIODS, currentPeriod} from './evidence-pool.js';
+import type {PooledCounts} from './evidence-pool.js';
+import {answersIn, faultEvidence} from './fault-test.js';
 import {leansSlow} from './latency-test.js';
+import type {ServerHealth} from './server-health.js';
+import type {Verdict} from './verdict.js';
 
+export interface OverloadOptions {
+  usable: readonly ServerHealth[];
+  regionOf(server: ServerHealth): string;
+}
+
+// With fewer other servers in the region nothing tells a slow link apart.
+const MIN_OTHERS_IN_REGION = 2;
+
+/** Whether what speaks against `server` is shared by most others. */
 export function isOverload(
-  pools: readonly EvidencePool[],
+  server: ServerHealth,
+  verdict: Verdict,
+  options: OverloadOptions,
+): boolean {
+  const windowStart = currentPeriod() - WINDOW_PERIODS + 1;
+  // Timeouts of an overload go on for a while after most servers recovered.
+  for (const firstPeriod of [verdict.firstPeriod, windowStart]) {
+    if (mostLookBad(options.usable, firstPeriod)) return true;
+  }
+  if (verdict.reason !== 'latency') return false;
+  // A link to the region that became slow a moment ago looks the same.
+  const region = options.regionOf(server);
+  const near = options.usable.filter(
+    other => other !== server && options.regionOf(other) === region,
+  );
+  if (near.length < MIN_OTHERS_IN_REGION) return false;
+  return mostLookBad(near, verdict.firstPeriod);
+}
+
+function mostLookBad(
+  servers: readonly ServerHealth[],
   firstPeriod: number,
 ): boolean {
   let seen = 0;
   let bad = 0;
-  for (const pool of pools) {
-    const {successes, faults, latencySamples, slowSamples} =
-      pool.totalSince(firstPeriod);
-    if (successes + faults + latencySamples === 0) continue;
+  for (const {pool} of servers) {
+    const total = pool.totalSince(firstPeriod);
+    if (answersIn(total) + total.latencySamples === 0) continue;
     seen += 1;
-    const looksBad =
-      faultEvidence(successes, faults) > 0 ||
-      leansSlow(latencySamples, slowSamples);
-    if (looksBad) bad += 1;
+    if (looksBad(total)) bad += 1;
   }
   return bad > seen / 2;
 }
+
+function looksBad(counts: PooledCounts): boolean {
+  return faultEvidence(counts) > 0 || leansSlow(counts);
+}
--- a/packages/health/src/lib/path-health.ts
+++ b/packages/health/src/lib/path-health.ts
@@ -13,8 +13,10 @@
 // Without new answers the expectation returns to the usual one by this share a
 // period, so that one slow answer does not keep a server idle.
 const IDLE_RETURN = 0.02;
+const FAULT_STEP = faultEvidence({successes: 0, faults: 1, failedChecks: 0});
+const SUCCESS_STEP = faultEvidence({successes: 1, faults: 0, failedChecks: 0});
 // Three faults in a row, or more with successes between them.
-const AVOID_THRESHOLD = 3 * faultEvidence(0, 1);
+const AVOID_THRESHOLD = 3 * FAULT_STEP;
 const FIRST_AVOIDANCE_MS = 2000;
 const LONGEST_AVOIDANCE_MS = 30_000;
 
@@ -36,7 +38,7 @@
     const fault = signal === 'fault';
     this.usedInPeriod = true;
     this.faultRate += SMOOTHING * ((fault ? 1 : 0) - this.faultRate);
-    const step = fault ? faultEvidence(0, 1) : faultEvidence(1, 0);
+    const step = fault ? FAULT_STEP : SUCCESS_STEP;
     this.evidence = Math.max(0, this.evidence + step);
     if (this.evidence === 0) this.avoidances = 0;
   }
@@ -71,7 +73,7 @@
     this.avoidedUntilMs =
       performance.now() + Math.min(lengthMs, LONGEST_AVOIDANCE_MS);
     // After the avoidance one more fault is enough for the next one.
-    this.evidence = AVOID_THRESHOLD - faultEvidence(0, 1);
+    this.evidence = AVOID_THRESHOLD - FAULT_STEP;
   }
 
   closePeriod(usualMs: number | undefined): void {
--- a/packages/health/src/lib/period-counts.ts
+++ b/packages/health/src/lib/period-counts.ts
@@ -14,6 +14,8 @@
   slowSamples: number;
   /** Requests that first became too slow in flight; none is an answer yet. */
   overdue: number;
+  /** Answers and overdue requests of these over twice the limit. */
+  verySlowSamples: number;
 }
 
 export const PERIOD_MS = 200;
@@ -27,6 +29,7 @@
     latencySamples: 0,
     slowSamples: 0,
     overdue: 0,
+    verySlowSamples: 0,
   };
 }
 
--- a/packages/health/src/lib/pooled-selector.ts
+++ b/packages/health/src/lib/pooled-selector.ts
@@ -55,7 +55,7 @@
 
 // Frames of 40 peers arrive spread over a period; testing several times in it
 // saves most of a period of the time to detect.
-const EVALUATE_MS = 50;
+const EVALUATE_MS = 20;
 const NO_SERVER_RETRY_MS = 1000;
 
 export class PooledSelector implements ServerSelector {
--- a/packages/health/src/lib/server-health.ts
+++ b/packages/health/src/lib/server-health.ts
@@ -20,6 +20,7 @@
   startedAtMs: number;
   /** It counted as overdue; its answer is no second latency sample. */
   countedOverdue: boolean;
+  countedVerySlow: boolean;
 }
 
 export class ServerHealth {
--- a/packages/health/src/lib/service-health.ts
+++ b/packages/health/src/lib/service-health.ts
@@ -4,8 +4,7 @@
 import {pickOfTwo} from './balancer.js';
 import type {EvidenceEntry} from './evidence-frame.js';
 import {serverListDigest} from './evidence-frame.js';
-import {LatencyBaseline} from './latency-baseline.js';
-import {slowFactor} from './latency-test.js';
+import {LatencyJudge} from './latency-judge.js';
 import {isOverload} from './overload.js';
 import {PeerReports} from './peer-reports.js';
 import {noCounts} from './period-counts.js';
@@ -31,18 +30,15 @@
   onTransition(transition: HealthTransition): void;
 }
 
-const DEFAULT_LATENCY_MS = 20;
-
 export class ServiceHealth {
   readonly servers: ReadonlyMap<string, ServerHealth>;
   readonly sortedIds: readonly string[];
   readonly digest: number;
   readonly rotation: Rotation;
   readonly reports: PeerReports;
-  private readonly baseline = LatencyBaseline.create();
-  /** Median latency of the servers comparable with each one. */
-  private readonly medianMs = new Map<string, number | undefined>();
-  private usualLatencyMs = DEFAULT_LATENCY_MS;
+  private readonly latency = LatencyJudge.create({
+    regionOf: server => this.regionOf(server),
+  });
 
   private constructor(readonly options: ServiceHealthOptions) {
     const {service, maxInstances} = options;
@@ -78,12 +74,16 @@
     }
     return pickOfTwo(usable, {
       random: this.options.random,
-      usualLatencyMs: this.usualLatencyMs,
+      usualLatencyMs: this.latency.usualLatencyMs,
     });
   }
 
   begin(server: ServerHealth): InFlight {
-    const attempt = {startedAtMs: performance.now(), countedOverdue: false};
+    const attempt = {
+      startedAtMs: performance.now(),
+      countedOverdue: false,
+      countedVerySlow: false,
+    };
     server.inFlight.add(attempt);
     return attempt;
   }
@@ -113,7 +113,7 @@
     }
     // Refusals and errors of the caller often answer before the usual work.
     if (outcome.kind === 'ok' || outcome.kind === 'invalid') {
-      this.recordLatency(server, attempt, outcome.latencyMs);
+      this.latency.record(server, attempt, outcome.latencyMs);
     }
   }
 
@@ -121,11 +121,11 @@
   closePeriod(stalled: boolean): EvidenceEntry[] {
     const {selfId, region} = this.options;
     const entries: EvidenceEntry[] = [];
-    this.updateMedians();
+    this.latency.updateMedians(this.servers.values(), this.rotation.usable());
     this.sortedIds.forEach((serverId, index) => {
       const server = this.servers.get(serverId)!;
       if (!stalled) {
-        this.countOverdue(server);
+        this.latency.countOverdue(server);
         server.pool.add(selfId, region, server.counts);
       }
       const entry = {
@@ -137,7 +137,7 @@
       };
       entries.push(entry);
       server.counts = noCounts();
-      server.path.closePeriod(this.medianMs.get(serverId));
+      server.path.closePeriod(this.latency.medianMs(serverId));
       this.advance(server);
     });
     this.reports.expire();
@@ -173,11 +173,14 @@
       if (verdict) candidates.push({server, verdict});
     }
     if (candidates.length === 0) return;
-    const pools = this.rotation.usable().map(server => server.pool);
+    const options = {
+      usable: this.rotation.usable(),
+      regionOf: (one: ServerHealth) => this.regionOf(one),
+    };
     candidates.sort((a, b) => b.verdict.badness - a.verdict.badness);
     for (const {server, verdict} of candidates) {
-      if (isOverload(pools, verdict.firstPeriod)) continue;
-      this.rotation.eject(server, verdict.badness, verdict.reason);
+      if (isOverload(server, verdict, options)) server.pool.excuse();
+      else this.rotation.eject(server, verdict.badness, verdict.reason);
     }
   }
 
@@ -211,55 +214,9 @@
     this.rotation.avoid(server);
   }
 
-  private recordLatency(
-    server: ServerHealth,
-    attempt: InFlight,
-    latencyMs: number,
-  ): void {
-    server.path.recordLatency(latencyMs);
-    this.baseline.record(server.serverId, latencyMs);
-    const medianMs = this.medianMs.get(server.serverId);
-    if (medianMs === undefined || attempt.countedOverdue) return;
-    server.counts.latencySamples += 1;
-    if (latencyMs > medianMs * factorOf(server)) server.counts.slowSamples += 1;
-  }
-
-  private countOverdue(server: ServerHealth): void {
-    const medianMs = this.medianMs.get(server.serverId);
-    if (medianMs === undefined) return;
-    const latestStartMs = performance.now() - medianMs * factorOf(server);
-    for (const attempt of server.inFlight) {
-      if (attempt.countedOverdue || attempt.startedAtMs >= latestStartMs) {
-        continue;
-      }
-      attempt.countedOverdue = true;
-      server.counts.overdue += 1;
-    }
+  private regionOf({server}: ServerHealth): string {
+    return this.options.regionOfZone(server.availabilityZone);
   }
-
-  private updateMedians(): void {
-    const all = this.rotation.usable();
-    const usualMs = this.baseline.medianMs(all.map(one => one.serverId));
-    this.usualLatencyMs = usualMs ?? this.usualLatencyMs;
-    for (const [serverId, {server}] of this.servers) {
-      const region = this.regionOf(server.availabilityZone);
-      const others = all.filter(one => one.serverId !== serverId);
-      const near = others.filter(
-        one => this.regionOf(one.server.availabilityZone) === region,
-      );
-      const compared = near.length > 0 ? near : others;
-      const ids = compared.map(one => one.serverId);
-      this.medianMs.set(serverId, this.baseline.medianMs(ids));
-    }
-  }
-
-  private regionOf(availabilityZone: string): string {
-    return this.options.regionOfZone(availabilityZone);
-  }
-}
-
-function factorOf(server: ServerHealth): number {
-  return slowFactor(server.ramp?.kind === 'readmitted');
 }
 
 function createServers(
--- a/packages/health/src/lib/verdict.ts
+++ b/packages/health/src/lib/verdict.ts
@@ -16,7 +16,8 @@
   HEALTHY_THRESHOLD,
   faultEvidence,
 } from './fault-test.js';
-import {isFast, isSlow} from './latency-test.js';
+import {deniesSlowness, isSlow} from './latency-test.js';
+import type {LatencyCounts} from './latency-test.js';
 
 export interface VerdictOptions {
   /** Instances that are live now, with this one. */
@@ -53,6 +54,7 @@
   const tallies = new Map<string, Tally>();
   for (let back = 0; back < WINDOW_PERIODS; back += 1) {
     const firstPeriod = newest - back;
+    if (firstPeriod <= pool.excusedPeriod) return undefined;
     addPeriod(tallies, pool, firstPeriod);
     const verdict = judgeTallies([...tallies.values()], options);
     if (verdict) return {...verdict, firstPeriod};
@@ -87,38 +89,38 @@
     return {reason: 'faults', badness: 1 + evidence / FAULTY_THRESHOLD};
   }
   if (!options.judgesLatency) return undefined;
-  const {samples, slow} = slowSum(tallies, leavesOut);
-  if (!isSlow(samples, slow, options.halved)) return undefined;
+  const latency = latencySum(tallies, leavesOut);
+  if (!isSlow(latency, options.halved)) return undefined;
   if (regionDenies(tallies, deniesSlowness)) return undefined;
-  return {reason: 'latency', badness: slow / samples};
+  const badness = latency.slowSamples / latency.latencySamples;
+  return {reason: 'latency', badness};
 }
 
 /** Evidence of faults, without the most damaging reporter if asked for. */
 function faultSum(tallies: readonly Tally[], leavesOut: boolean): number {
   let sum = 0;
   let worst = 0;
-  for (const {successes, faults} of tallies) {
-    const evidence = Math.max(-MAX_VOUCH, faultEvidence(successes, faults));
+  for (const tally of tallies) {
+    const evidence = Math.max(-MAX_VOUCH, faultEvidence(tally));
     sum += evidence;
     worst = Math.max(worst, evidence);
   }
   return leavesOut ? sum - worst : sum;
 }
 
-function slowSum(tallies: readonly Tally[], leavesOut: boolean) {
-  let samples = 0;
-  let slow = 0;
+function latencySum(
+  tallies: readonly Tally[],
+  leavesOut: boolean,
+): LatencyCounts {
+  const sum = emptyCounts();
   let worst: Tally | undefined;
   for (const tally of tallies) {
-    samples += tally.latencySamples;
-    slow += tally.slowSamples;
+    addCounts(sum, tally);
     if (tally.slowSamples > (worst?.slowSamples ?? 0)) worst = tally;
   }
-  if (!leavesOut || !worst) return {samples, slow};
-  return {
-    samples: samples - worst.latencySamples,
-    slow: slow - worst.slowSamples,
-  };
+  if (!leavesOut || !worst) return sum;
+  addCounts(sum, worst, -1);
+  return sum;
 }
 
 /**
@@ -138,10 +140,6 @@
   return [...regions.values()].some(denies);
 }
 
-function deniesFaults({successes, faults}: PooledCounts): boolean {
-  return faultEvidence(successes, faults) <= HEALTHY_THRESHOLD;
-}
-
-function deniesSlowness(counts: PooledCounts): boolean {
-  return isFast(counts.latencySamples, counts.slowSamples);
+function deniesFaults(counts: PooledCounts): boolean {
+  return faultEvidence(counts) <= HEALTHY_THRESHOLD;
 }
