--- a/packages/limits/src/lib/share-ledger.ts
+++ b/packages/limits/src/lib/share-ledger.ts
@@ -237,7 +237,11 @@
   private async returnShare(): Promise<void> {
     for (let attempt = 0; attempt < RETURN_ATTEMPTS; attempt += 1) {
       const known = await this.read();
-      if (known && partsOf(this.view.row, this.selfId) === 0) return;
+      if (known && partsOf(this.view.row, this.selfId) === 0) {
+        // Whoever is short takes the free parts now rather than a cycle later.
+        this.options.network.broadcast(LEDGER_CHANGED_KIND, {});
+        return;
+      }
       if (known) await this.write(releaseTo(this.view.row, this.selfId, 0));
       await sleep(RETRY_MS * (1 + this.options.random()));
     }
--- a/packages/proofs/src/lib/limits-service.ts
+++ b/packages/proofs/src/lib/limits-service.ts
@@ -1,5 +1,9 @@
 /** Service to in-rate demand: wrongful refusals under skew and replacement. */
-import {IdealBucket, checkWithinLimits, countService} from './limits-checker.js';
+import {
+  IdealBucket,
+  checkWithinLimits,
+  countService,
+} from './limits-checker.js';
 import type {ServiceCounts} from './limits-checker.js';
 import {LimitsFleet} from './limits-fleet.js';
 import type {LimitsFleetOptions} from './limits-fleet.js';
--- /dev/null
+++ b/packages/proofs/src/test/limits-fairness_test.ts
@@ -0,0 +1,10 @@
+/** Guards against a team that gets too little while another floods. */
+import {describe, it} from 'node:test';
+import {worstServedTeamIsServed} from '../lib/limits-properties.js';
+import {ciSeeds} from '../lib/seeds.js';
+
+describe('limits', () => {
+  it(worstServedTeamIsServed.name, async () => {
+    for (const seed of ciSeeds(2)) await worstServedTeamIsServed.run(seed);
+  });
+});
