--- a/packages/health/src/lib/evidence-pool.ts
+++ b/packages/health/src/lib/evidence-pool.ts
@@ -1,7 +1,7 @@
 /** Counts of all reporters for one server over a sliding window of 2 s. */
 import type {FaultCounts} from './fault-test.js';
 import type {LatencyCounts} from './latency-test.js';
-import {PERIOD_MS} from './period-counts.js';
+import {PERIOD_MS, hasCounts} from './period-counts.js';
 import type {PeriodCounts} from './period-counts.js';
 
 /** Counts as the two tests use them. */
@@ -34,6 +34,7 @@
   }
 
   add(reporterId: string, region: string, counts: PeriodCounts): void {
+    if (!hasCounts(counts)) return;
     const period = currentPeriod();
     const slot = this.slotOf(reporterId, region, period);
     // Requests that are overdue in flight are samples too.
--- a/packages/proofs/src/lib/health-checkers.ts
+++ b/packages/proofs/src/lib/health-checkers.ts
@@ -123,15 +123,18 @@
   return violations;
 }
 
-/** How often each instance put the server back in rotation by a probe. */
+/** How often each instance put the server back after it was withdrawn. */
 export function readmissionsByInstance(
   history: History,
   serverId: string,
 ): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const {process, operationId, value} of history.ofKind('transition')) {
-    const {reason} = value as HealthTransition;
-    if (operationId !== serverId || reason !== 'probe') continue;
+  const withdrawnAt = new Set<string>();
+  for (const {process, value} of history.ofKind('rotation')) {
+    const servers = value as RotationSnapshot;
+    const use = servers.find(one => one.serverId === serverId)?.use;
+    if (use === 'withdrawn') withdrawnAt.add(process);
+    if (use !== 'in-rotation' || !withdrawnAt.delete(process)) continue;
     counts.set(process, (counts.get(process) ?? 0) + 1);
   }
   return counts;
--- a/packages/proofs/src/lib/health-detection.ts
+++ b/packages/proofs/src/lib/health-detection.ts
@@ -73,27 +73,30 @@
 
 const FLAP_MS = 3000;
 const FLAPS = 15;
+// Each instance sees several requests of every flap.
+const FLAP_INSTANCES = 12;
 const FIRST_BACKOFF_MS = 5000;
 
 /**
- * A server is slow for 3 s and well for 3 s, 15 times. With a backoff of 5 s
+ * A server fails for 3 s and is well for 3 s, again and again. With a backoff of 5 s
  * that doubles, no instance readmits it more often than the waits fit in.
  */
 export async function checkFlapping(
   seed: number,
   variant: SelectorVariant = 'pooled',
+  flaps = FLAPS,
 ): Promise<void> {
-  const options = {...TUNISIA_FLEET, seed, variant, instances: 12};
+  const options = {...TUNISIA_FLEET, seed, variant, instances: FLAP_INSTANCES};
   await HealthFleet.run(options, async fleet => {
     await fleet.advance(WARM_UP_MS);
     const serverId = fleet.serverIds()[0]!;
-    for (let flap = 0; flap < FLAPS; flap += 1) {
+    for (let flap = 0; flap < flaps; flap += 1) {
       fleet.setFaults(serverId, {errorShare: 1});
       await fleet.advance(FLAP_MS);
       fleet.setFaults(serverId, {errorShare: 0});
       await fleet.advance(FLAP_MS);
     }
-    const most = mostReadmissions(2 * FLAP_MS * FLAPS);
+    const most = mostReadmissions(2 * FLAP_MS * flaps);
     for (const [instanceId, count] of readmissionsByInstance(
       fleet.history,
       serverId,
