--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -47,3 +47,19 @@
 export type {ServiceRunOptions} from './lib/limits-service.js';
 export type {TeamLimits} from './lib/mutable-configuration.js';
 export {SimulatedClock} from './lib/simulated-clock.js';
+export {
+  DETECTION_TARGET_MS,
+  GRAY_FAULTS,
+  HEALTH_DETECTION_RUNS,
+  checkDetection,
+  checkFlapping,
+  measureDetectionMs,
+} from './lib/health-detection.js';
+export {
+  HEALTHY_CONDITIONS,
+  HEALTH_FALSE_EJECTION_RUNS,
+  checkNoEjection,
+} from './lib/health-false-ejections.js';
+export type {HealthyCondition} from './lib/health-false-ejections.js';
+export {HEALTH_FLOOR_RUN, checkFloor} from './lib/health-floor.js';
+export {HEALTH_LEAVING_RUN, checkLeaving} from './lib/health-leaving.js';
