--- a/packages/proofs/src/lib/all-runs.ts
+++ b/packages/proofs/src/lib/all-runs.ts
@@ -1,6 +1,11 @@
 /** Every seeded property, for the soak test. */
 import {answersRuns} from './answers-run.js';
 import {configurationRuns} from './configuration-runs.js';
+import {HEALTH_DETECTION_RUNS} from './health-detection.js';
+import {HEALTH_FALSE_EJECTION_RUNS} from './health-false-ejections.js';
+import {HEALTH_FLOOR_RUN} from './health-floor.js';
+import {HEALTH_LEAVING_RUN} from './health-leaving.js';
+import {LIMITS_PROPERTIES} from './limits-properties.js';
 import {onceRuns} from './once-runs.js';
 import type {SeededRun} from './seeds.js';
 
@@ -8,4 +13,9 @@
   ...answersRuns,
   ...onceRuns,
   ...configurationRuns,
+  ...LIMITS_PROPERTIES,
+  HEALTH_FLOOR_RUN,
+  HEALTH_LEAVING_RUN,
+  ...HEALTH_DETECTION_RUNS,
+  ...HEALTH_FALSE_EJECTION_RUNS,
 ];
