Measure the speed of the request path beside bare forwarders

Each forwarder is its own process before one bare node:http backend; the load generator is another process. Rounds take turns over all forwarders; figures are medians over rounds.

--- a/packages/experiment/src/lib/experiment-main.ts
+++ b/packages/experiment/src/lib/experiment-main.ts
@@ -9,6 +9,7 @@
 import {SCENARIOS} from './scenario/scenario.js';
 import {figuresOf} from './scenario/scenario-report.js';
 import type {ScenarioFigures} from './scenario/scenario-report.js';
+import {measurePathSpeed} from './speed/path-speed.js';
 
 interface ExperimentFlags {
   list?: boolean;
@@ -16,6 +17,7 @@
   deployment: string;
   seed: string;
   seeds: string;
+  rounds: string;
   json?: boolean;
 }
 
@@ -30,6 +32,8 @@
 }
 
 const EXIT_USAGE = 2;
+const PATH_SPEED = 'path-speed';
+const SPEED_PHASE_MS = 3000;
 const PROGRESS_SECONDS = 10;
 
 export async function runExperiment(argv: string[]): Promise<void> {
@@ -40,13 +44,14 @@
     .option('--deployment', 'tunisia or lariana', 'tunisia')
     .option('--seed', 'First seed', '1')
     .option('--seeds', 'Number of seeds, counted up from the first', '1')
+    .option('--rounds', 'Rounds over all forwarders of path-speed', '3')
     .option('--json', 'Print one JSON object as the last line')
     .action((flags: ExperimentFlags) => dispatch(flags));
   await program.parse(argv);
 }
 
 async function dispatch(flags: ExperimentFlags): Promise<void> {
-  const names = Object.keys(SCENARIOS);
+  const names = [...Object.keys(SCENARIOS), PATH_SPEED];
   if (flags.list) {
     console.log(names.join('\n'));
     return;
@@ -62,11 +67,24 @@
   if (!names.includes(scenario)) {
     return usage(`--scenario must be one of ${names.join(', ')}`);
   }
+  if (scenario === PATH_SPEED) return reportPathSpeed(flags);
   const report = await measure(scenario, deployment, seed, seeds);
   if (flags.json) console.log(JSON.stringify(report));
   else printTable(report);
 }
 
+async function reportPathSpeed(flags: ExperimentFlags): Promise<void> {
+  const rounds = Math.max(1, Number(flags.rounds));
+  const report = await measurePathSpeed({rounds, phaseMs: SPEED_PHASE_MS});
+  if (flags.json) {
+    console.log(JSON.stringify({...report, seed: Number(flags.seed)}));
+    return;
+  }
+  console.table(report.forwarders);
+  const {throughputRatio, addedP99Ms, baseline} = report;
+  console.log(JSON.stringify({throughputRatio, addedP99Ms, baseline}));
+}
+
 async function measure(
   scenario: string,
   deployment: Deployment,
