--- a/packages/experiment/src/lib/fleet/fleets.ts
+++ b/packages/experiment/src/lib/fleet/fleets.ts
@@ -1,8 +1,9 @@
 /** The two fleets that every scenario compares. */
+import {FIREFLYTRACK_FLEET} from './fireflytrack-fleet.js';
 import {NAIVE_FLEET} from './fleet-variant.js';
 import type {FleetVariant} from './fleet-variant.js';
 
 export const FLEETS: {measured: FleetVariant; baseline: FleetVariant} = {
-  measured: NAIVE_FLEET,
+  measured: FIREFLYTRACK_FLEET,
   baseline: NAIVE_FLEET,
 };
