--- a/packages/limits/src/lib/borrowing-limiter.ts
+++ b/packages/limits/src/lib/borrowing-limiter.ts
@@ -45,14 +45,16 @@
   private ticks = 0;
 
   private constructor(private readonly options: BorrowingLimiterOptions) {
+    const random = options.random ?? Math.random;
     this.ledger = ShareLedger.create({
       ...options,
       shard: 0,
-      random: options.random ?? Math.random,
+      random,
       onParts: parts => this.setParts(parts),
     });
     this.borrower = TokenBorrower.create({
       ...options,
+      random,
       usableParts: () => this.ledger.usableParts(),
     });
     this.handleMessages(options.network);
@@ -117,7 +119,9 @@
   ): TeamAccount {
     const parts = this.ledger.usableParts();
     const partsOf = (peerId: string) => this.ledger.partsOf(peerId);
-    return TeamAccount.create(teamName, rate, parts, partsOf);
+    return TeamAccount.create(teamName, rate, parts, partsOf, account =>
+      this.borrower.reportSpent(account),
+    );
   }
 
   private setParts(parts: number): void {
--- a/packages/limits/src/lib/team-account.ts
+++ b/packages/limits/src/lib/team-account.ts
@@ -18,6 +18,10 @@
 // A lender keeps what its own callers will take until its next borrowing.
 const LENDER_RESERVE_MS = 50;
 
+// After answers that granted too little, the levels known here are too high
+// and time is short, so waiting requests ask more peers than they need.
+const MAX_OVERASKING = 4;
+
 const ADMITTED: Admission = {admitted: true};
 
 export class TeamAccount {
@@ -26,6 +30,10 @@
   readonly peerLevels: PeerLevels;
   /** Tokens asked of peers that have not answered yet. */
   askedMicro = 0;
+  /** Grants under what was asked, since a waiting request was admitted. */
+  shortAnswers = 0;
+  /** When peers were last asked although they seemed to hold too little. */
+  probedAtMs = -Infinity;
   /** Whether tokens were lent since the last level frame. */
   lentLately = false;
   private readonly waiting: WaitingRequests;
@@ -36,19 +44,22 @@
     private currentRate: TeamRate,
     parts: number,
     partsOf: (peerId: string) => number,
+    private readonly onLotsSpent: (account: TeamAccount) => void,
   ) {
     this.bucket = OwnedBucket.create(currentRate, parts);
     this.peerLevels = PeerLevels.create(partsOf);
     this.waiting = WaitingRequests.create(() => this.onWaitDeadline());
   }
 
+  /** `onLotsSpent` is called when borrowed fractions were used up. */
   static create(
     teamName: string,
     rate: TeamRate,
     parts: number,
     partsOf: (peerId: string) => number,
+    onLotsSpent: (account: TeamAccount) => void,
   ): TeamAccount {
-    return new TeamAccount(teamName, rate, parts, partsOf);
+    return new TeamAccount(teamName, rate, parts, partsOf, onLotsSpent);
   }
 
   get rate(): TeamRate {
@@ -91,9 +102,16 @@
     const nowMs = performance.now();
     while (this.waiting.count > 0 && this.takeToken(nowMs)) {
       this.waiting.settleOldest(ADMITTED);
+      this.shortAnswers = 0;
     }
   }
 
+  /** Factor by which waiting requests ask for more than they need. */
+  overAsking(): number {
+    if (this.waiting.count > MAX_OVERASKING) return 1;
+    return Math.min(MAX_OVERASKING, 1 + this.shortAnswers / 4);
+  }
+
   addBorrowed(lot: BorrowedLot): void {
     this.lots.add(lot, performance.now());
     this.serveWaiting();
@@ -105,9 +123,15 @@
 
   /** Whole millionths that a peer may borrow now. */
   lendableMicro(nowMs: number): number {
-    const reserve =
-      (this.demand.perSecond() * LENDER_RESERVE_MS * MICRO_PER_TOKEN) / 1000;
-    return Math.max(0, Math.floor(this.bucket.levelMicro(nowMs) - reserve));
+    const level = this.bucket.levelMicro(nowMs);
+    // A share that never holds a whole token serves nobody by itself.
+    if (this.bucket.capacityMicro() < MICRO_PER_TOKEN) return Math.floor(level);
+    const perSecond = Math.min(
+      this.demand.perSecond(),
+      this.currentRate.ratePerSecond,
+    );
+    const reserve = (perSecond * LENDER_RESERVE_MS * MICRO_PER_TOKEN) / 1000;
+    return Math.max(0, Math.floor(level - reserve));
   }
 
   /** Subtracts up to `wantedMicro` for a peer; returns what it may spend. */
@@ -142,6 +166,7 @@
     if (borrowed + owned < MICRO_PER_TOKEN) return false;
     const taken = borrowed > 0 ? this.lots.take(MICRO_PER_TOKEN) : 0;
     this.bucket.take(MICRO_PER_TOKEN - taken);
+    if (this.lots.hasSpent()) this.onLotsSpent(this);
     return true;
   }
 
