--- a/packages/experiment/src/lib/fleet/deployment.ts
+++ b/packages/experiment/src/lib/fleet/deployment.ts
@@ -15,6 +15,7 @@
 export const SERVERS_PER_SERVICE = 12;
 export const CONNECTIONS_PER_SERVER = 360;
 export const CONNECTION_COST_MS = 1;
+export const PROBE_COST_MS = 25;
 export const ZONES_PER_REGION = 2;
 export const CAPACITY_FLOOR = 0.5;
 
--- a/packages/experiment/src/lib/fleet/fake-backend.ts
+++ b/packages/experiment/src/lib/fleet/fake-backend.ts
@@ -3,9 +3,9 @@
  * of new connections, a cold start, draining and gray faults.
  */
 import type {BackendServer} from '@fireflytrack/configuration';
-import type {ServerOutcome} from '@fireflytrack/health';
+import type {ProbeResult, ServerOutcome} from '@fireflytrack/health';
 import type {Random} from '../random.js';
-import {CONNECTION_COST_MS} from './deployment.js';
+import {CONNECTION_COST_MS, PROBE_COST_MS} from './deployment.js';
 
 export interface FakeBackendOptions {
   slots: number;
@@ -71,6 +71,13 @@
     return () => (call.cancelled = true);
   }
 
+  /** The health answer, which does not show gray faults. */
+  async probe(): Promise<ProbeResult> {
+    await new Promise(resolve => setTimeout(resolve, PROBE_COST_MS));
+    if (this.draining) return 'draining';
+    return performance.now() < this.coldUntilMs ? 'cold' : 'up';
+  }
+
   private start(call: Call): void {
     this.slotsInUse += 1;
     const {random, meanServiceMs} = this.options;
--- a/packages/experiment/src/lib/fleet/fireflytrack-fleet.ts
+++ b/packages/experiment/src/lib/fleet/fireflytrack-fleet.ts
@@ -1,24 +1,39 @@
 /** The decision modules of the product, as the daemon builds them. */
-import {RandomSelector} from '@fireflytrack/health';
+import {PooledSelector} from '@fireflytrack/health';
 import {BorrowingLimiter} from '@fireflytrack/limits';
 import {DisabledMetrics, createLogger} from '@fireflytrack/telemetry';
 import type {FleetVariant} from './fleet-variant.js';
 
 // Forty instances in one process: their logs would hide the figures.
+const OUT_PHASES: ReadonlySet<string> = new Set(['ejected']);
 const QUIET_LOGGER = createLogger({level: 'error', silent: true});
 
 export const FIREFLYTRACK_FLEET: FleetVariant = {
   name: 'fireflytrack',
-  createModules({source, network, membership, table}) {
+  createModules({source, network, membership, table, probe}) {
     const metrics = DisabledMetrics.create();
     const common = {source, network, membership, logger: QUIET_LOGGER, metrics};
     const limiter = BorrowingLimiter.create({...common, table});
+    const selector = PooledSelector.create({...common, probe});
     limiter.start();
+    selector.start();
     return {
-      selector: RandomSelector.create(source),
+      selector,
       limiter,
-      ejectedServerIds: () => [],
-      stop: () => limiter.stop(),
+      retries: selector.retries,
+      ejectedServerIds: () => ejectedBy(selector),
+      async stop() {
+        await limiter.stop();
+        selector.stop();
+      },
     };
   },
 };
+
+function ejectedBy(selector: PooledSelector): string[] {
+  return selector
+    .state()
+    .flatMap(service => service.servers)
+    .filter(server => OUT_PHASES.has(server.phase))
+    .map(server => server.serverId);
+}
--- a/packages/experiment/src/lib/fleet/fleet-instance.ts
+++ b/packages/experiment/src/lib/fleet/fleet-instance.ts
@@ -55,8 +55,10 @@
   async serve(serviceName: string, startedAtMs: number): Promise<ServeResult> {
     const excluded = new Set<string>();
     let reason: ServerOutcome['kind'] | 'no-server' = 'no-server';
+    const {selector, retries} = this.modules;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const selected = this.modules.selector.select(serviceName, {excluded});
+      if (attempt > 0 && retries?.tryTake(serviceName) === false) break;
+      const selected = selector.select(serviceName, {excluded});
       if (selected.err) break;
       excluded.add(selected.val.server.serverId);
       const deadlineAtMs = startedAtMs + DEADLINE_MS;
--- a/packages/experiment/src/lib/fleet/fleet-run.ts
+++ b/packages/experiment/src/lib/fleet/fleet-run.ts
@@ -156,7 +156,9 @@
     const others = this.network.identities();
     const membership = FixedMembership.create(identity, others);
     const {source, table} = this;
-    const context = {source, network, membership, table};
+    const probe = ({serverId}: {serverId: string}) =>
+      this.backends.get(serverId)!.probe();
+    const context = {source, network, membership, table, probe};
     const instance = FleetInstance.create(
       identity,
       membership,
--- a/packages/experiment/src/lib/fleet/fleet-variant.ts
+++ b/packages/experiment/src/lib/fleet/fleet-variant.ts
@@ -1,7 +1,7 @@
 /** The decision modules of one kind of fleet, one copy per instance. */
 import type {ConfigurationSource} from '@fireflytrack/configuration';
 import {RandomSelector} from '@fireflytrack/health';
-import type {ServerSelector} from '@fireflytrack/health';
+import type {Probe, ServerSelector} from '@fireflytrack/health';
 import {StaticShareLimiter} from '@fireflytrack/limits';
 import type {TeamLimiter} from '@fireflytrack/limits';
 import type {Membership} from '@fireflytrack/membership';
@@ -14,11 +14,14 @@
   network: PeerNetwork;
   membership: Membership;
   table: TableService;
+  probe: Probe;
 }
 
 export interface DecisionModules {
   selector: ServerSelector;
   limiter: TeamLimiter;
+  /** Asked before each attempt but the first; unlimited if absent. */
+  retries?: {tryTake(serviceName: string): boolean};
   /** Servers that this instance sends no ordinary traffic. */
   ejectedServerIds(): string[];
   /** Planned stop: returns what it owns to the fleet. */
