--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -2,6 +2,8 @@
 export type {HistoryEvent, HistoryOperation} from './lib/history.js';
 export {ciSeeds, runSeeds} from './lib/seeds.js';
 export type {SeededRun} from './lib/seeds.js';
+export {ProcessRun} from './lib/process-run.js';
+export type {CallAnswer, ProcessRunOptions} from './lib/process-run.js';
 export {HealthFleet, SERVICE_NAME, TUNISIA_FLEET} from './lib/health-fleet.js';
 export type {HealthFleetOptions} from './lib/health-fleet.js';
 export type {SelectorVariant} from './lib/health-fake-instance.js';
