--- a/packages/experiment/src/lib/fleet/fleet-run.ts
+++ b/packages/experiment/src/lib/fleet/fleet-run.ts
@@ -49,8 +49,12 @@
   messages: ReadonlyMap<string, number>;
 }
 
-// New fleets share out rates and fill their evidence windows meanwhile.
-export const WARM_UP_MS = 8000;
+// The instances share out the rates before the first request comes; with
+// requests at once each of them would ask all peers, which own nothing yet.
+const SETTLE_MS = 3000;
+const WARM_UP_MS = 7000;
+// Longer than a request's deadline, so that each offered request has an end.
+const DRAIN_MS = 2100;
 const MEAN_SERVICE_MS = 20;
 const EJECTION_CHECK_MS = 250;
 const MICROSECONDS = 1000;
@@ -95,14 +99,14 @@
     const clock = PausedClock.install(options.seed);
     try {
       const run = new FleetRun(options);
-      const step = (elapsedMs: number) => run.onMillisecond(elapsedMs);
-      await clock.run(WARM_UP_MS, step);
+      await clock.run(SETTLE_MS);
+      await clock.run(WARM_UP_MS - SETTLE_MS, step => run.onMillisecond(step));
       run.teams.startCounting();
       script.begin(run);
-      await clock.run(script.durationMs, elapsedMs =>
-        step(elapsedMs + WARM_UP_MS),
-      );
-      return run.result();
+      await clock.run(script.durationMs, step => run.onMillisecond(step));
+      const watched = run.watched();
+      await clock.run(DRAIN_MS);
+      return {...watched, ...run.result()};
     } finally {
       clock.uninstall();
     }
@@ -261,12 +265,18 @@
     this.watch.healthyEjected(healthy);
   }
 
-  private result(): RunResult {
+  /** What depends on ordinary traffic, which ends before the last answers. */
+  private watched() {
     return {
       detectionTimesMs: this.watch.detectionTimesMs(),
       undetected: this.watch.undetected(),
       dispatchesAfterDetection: this.watch.dispatchesAfterDetection(),
       falseEjections: this.watch.falseEjectionCount(),
+    };
+  }
+
+  private result() {
+    return {
       teams: this.teams.all(),
       failedRequests: this.failedRequests,
       addedP99Ms: this.addedUs.getValueAtPercentile(99) / MICROSECONDS,
