--- /dev/null
+++ b/packages/experiment/src/lib/capacity/limits-slope.ts
@@ -0,0 +1,95 @@
+/** Cost of the limits by the number of teams with recent demand. */
+import {BORROW_KIND, BorrowingLimiter} from '@fireflytrack/limits';
+import type {Configuration, Team} from '@fireflytrack/configuration';
+import {FixedMembership} from '@fireflytrack/membership';
+import {MemoryTable} from '@fireflytrack/platform';
+import {DisabledMetrics, createLogger} from '@fireflytrack/telemetry';
+import {Encoder} from 'cbor-x';
+import {FixedConfiguration} from '../fleet/fleet-configuration.js';
+import {PausedClock} from '../fleet/paused-clock.js';
+import {meanUs} from './stopwatch.js';
+import {StubNetwork} from './stub-network.js';
+
+export interface LimitsSlope {
+  teams: number;
+  /** One frame of levels, sent to each peer ten times a second. */
+  levelsBytes: number;
+  /** Receiving one such frame. */
+  receiveUs: number;
+  /** Granting one borrowing request. */
+  lendUs: number;
+  /** Admitting one request from tokens at hand. */
+  admitUs: number;
+}
+
+const LEVELS_KIND = 'limits/levels';
+const PEERS = 39;
+const SETTLE_MS = 2000;
+const LEVELS_PERIOD_MS = 100;
+
+export async function measureLimits(teams: number): Promise<LimitsSlope> {
+  const clock = PausedClock.install(1);
+  try {
+    const network = StubNetwork.create(PEERS);
+    const limiter = createLimiter(teams, network);
+    limiter.start();
+    await clock.run(SETTLE_MS);
+    const admitAll = () => {
+      for (let index = 0; index < teams; index += 1) {
+        void limiter.admit(`team-${index}`);
+      }
+    };
+    const admitUs = meanUs(admitAll) / teams;
+    await clock.run(LEVELS_PERIOD_MS);
+    const levels = network.lastBroadcast.get(LEVELS_KIND);
+    const [peer] = network.peers();
+    const request = {
+      teamName: 'team-0',
+      lotId: '1',
+      wantedMicro: 1,
+      lifetimeMs: 250,
+    };
+    let lot = 0;
+    const result = {
+      teams,
+      levelsBytes: new Encoder({useRecords: false}).encode(levels).length,
+      receiveUs: meanUs(() => network.deliver(LEVELS_KIND, peer!, levels)),
+      lendUs: meanUs(() => {
+        lot += 1;
+        network.ask(BORROW_KIND, peer!, {...request, lotId: String(lot)});
+      }),
+      admitUs,
+    };
+    return result;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+function createLimiter(teams: number, network: StubNetwork): BorrowingLimiter {
+  return BorrowingLimiter.create({
+    source: FixedConfiguration.create(configurationWith(teams)),
+    network,
+    // Alone on the list, so that it owns all parts.
+    membership: FixedMembership.create(network.self, []),
+    table: MemoryTable.create(),
+    logger: createLogger({level: 'error', silent: true}),
+    metrics: DisabledMetrics.create(),
+  });
+}
+
+function configurationWith(count: number): Configuration {
+  const teams = new Map<string, Team>();
+  for (let index = 0; index < count; index += 1) {
+    const name = `team-${index}`;
+    teams.set(name, {name, ratePerSecond: 1e6, burstTokens: 1e8});
+  }
+  return {
+    schemaVersion: 1,
+    name: 'capacity',
+    maxInstances: 40,
+    services: new Map(),
+    routes: [],
+    teams,
+  };
+}
--- /dev/null
+++ b/packages/experiment/src/lib/capacity/message-slope.ts
@@ -0,0 +1,63 @@
+/** Cost of one peer message by its size: encode, decode and bytes. */
+import {Encoder} from 'cbor-x';
+import {meanUs} from './stopwatch.js';
+
+export interface MessageSlope {
+  message: string;
+  frameBytes: number;
+  encodeUs: number;
+  decodeUs: number;
+}
+
+const LENGTH_BYTES = 4;
+const EVIDENCE_ENTRY = [11, 0, 0, 3, 12, 1, 0, 0, 240, 5200, 2];
+// The options of the peer protocol.
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+
+export function measureMessages(): MessageSlope[] {
+  return [
+    measure('heartbeat', message('membership/heartbeat', heartbeat())),
+    ...[12, 120, 1200].map(targets =>
+      measure(`evidence, ${targets} targets`, evidence(targets)),
+    ),
+    ...[8, 80, 800].map(teams =>
+      measure(`levels, ${teams} teams`, levels(teams)),
+    ),
+  ];
+}
+
+function measure(name: string, value: unknown): MessageSlope {
+  const bytes = codec.encode(value);
+  return {
+    message: name,
+    frameBytes: bytes.length + LENGTH_BYTES,
+    encodeUs: meanUs(() => void codec.encode(value)),
+    decodeUs: meanUs(() => void codec.decode(bytes)),
+  };
+}
+
+function message(kind: string, payload: unknown) {
+  return {type: 'message', kind, payload};
+}
+
+function heartbeat() {
+  return {
+    sequence: 123_457,
+    echo: 123_456,
+    leaving: false,
+    freshnessAgeMs: 312.5,
+  };
+}
+
+function evidence(targets: number) {
+  const entries = Array.from({length: targets}, () => EVIDENCE_ENTRY);
+  return message('health/evidence', [['counting', 305_419_896, entries]]);
+}
+
+function levels(teams: number) {
+  const lendableMicro: Record<string, number> = {};
+  for (let index = 0; index < teams; index += 1) {
+    lendableMicro[`team-${index}`] = 1_234_567 + index;
+  }
+  return message('limits/levels', {lendableMicro});
+}
--- /dev/null
+++ b/packages/experiment/src/lib/capacity/take-over.ts
@@ -0,0 +1,73 @@
+/**
+ * Largest take-over load when one instance fails: rendezvous hashing against
+ * the shifted arrangement of section 7 of the design page.
+ */
+import {rankByRendezvous} from '@fireflytrack/membership';
+
+export interface TakeOverLoad {
+  instances: number;
+  units: number;
+  arrangement: 'rendezvous' | 'shifted';
+  /** Units that one survivor takes over, the most over all failures. */
+  largestTakeOver: number;
+  /** The same if the failed instance's units spread evenly, rounded up. */
+  evenTakeOver: number;
+  /** Most units that one instance holds before a failure. */
+  largestLoad: number;
+}
+
+interface Placement {
+  holder: number;
+  successor: number;
+}
+
+// Services x regions of today (one probe choice each), and of the planned size.
+const UNITS = [12, 7200];
+
+export function measureTakeOver(instances: number): TakeOverLoad[] {
+  return UNITS.flatMap(units => [
+    measure('rendezvous', instances, placeByRendezvous(instances, units)),
+    measure('shifted', instances, placeShifted(instances, units)),
+  ]);
+}
+
+function placeByRendezvous(instances: number, units: number): Placement[] {
+  const ids = Array.from({length: instances}, (_, index) => `i${index}`);
+  return Array.from({length: units}, (_, unit) => {
+    const [holder, successor] = rankByRendezvous(`unit/${unit}`, ids);
+    return {holder: ids.indexOf(holder!), successor: ids.indexOf(successor!)};
+  });
+}
+
+/** Round `r` of the units is shifted by 1 + r, skipping the holder itself. */
+function placeShifted(instances: number, units: number): Placement[] {
+  return Array.from({length: units}, (_, unit) => {
+    const holder = unit % instances;
+    const round = Math.floor(unit / instances);
+    const shift = 1 + (round % (instances - 1));
+    return {holder, successor: (holder + shift) % instances};
+  });
+}
+
+function measure(
+  arrangement: TakeOverLoad['arrangement'],
+  instances: number,
+  placements: readonly Placement[],
+): TakeOverLoad {
+  const held = new Map<number, number>();
+  const taken = new Map<string, number>();
+  for (const {holder, successor} of placements) {
+    held.set(holder, (held.get(holder) ?? 0) + 1);
+    const move = `${holder}>${successor}`;
+    taken.set(move, (taken.get(move) ?? 0) + 1);
+  }
+  const largestLoad = Math.max(...held.values());
+  return {
+    instances,
+    units: placements.length,
+    arrangement,
+    largestTakeOver: Math.max(...taken.values()),
+    evenTakeOver: Math.ceil(placements.length / instances / (instances - 1)),
+    largestLoad,
+  };
+}
