--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -10,11 +10,9 @@
   EntryGateway,
   Forwarder,
   RequestPath,
-  UnboundedQueue,
-  UnlimitedRetries,
 } from '@fireflytrack/entry';
-import {RandomSelector} from '@fireflytrack/health';
-import {StaticShareLimiter} from '@fireflytrack/limits';
+import {PooledSelector, createHttpProbe} from '@fireflytrack/health';
+import {BorrowingLimiter, FairQueue} from '@fireflytrack/limits';
 import {PeerMembership} from '@fireflytrack/membership';
 import {TableOnceRegistry} from '@fireflytrack/once';
 import {
@@ -37,6 +35,9 @@
 import type {Settings} from './settings.js';
 
 const FLIGHT_CHECK_MS = 20;
+// Peers free slots without telling this instance more often.
+const QUEUE_REFRESH_MS = 50;
+const GAUGE_PERIOD_MS = 10_000;
 
 export class Daemon {
   readonly dump = StateDump.create();
@@ -49,6 +50,12 @@
   private readonly membership: PeerMembership;
   private readonly configuration: ConfigurationDistribution;
   private readonly gate: FreshnessGate;
+  private readonly limiter: BorrowingLimiter;
+  private readonly selector: PooledSelector;
+  private readonly once: TableOnceRegistry;
+  private readonly queue: FairQueue;
+  private queueTimer: NodeJS.Timeout | undefined;
+  private gaugeTimer: NodeJS.Timeout | undefined;
   private readonly forwarder = Forwarder.create();
   private readonly requestPath: RequestPath;
   private readonly gateway: EntryGateway;
@@ -89,18 +96,30 @@
     };
     this.configuration = ConfigurationDistribution.create(distribution);
     this.gate = FreshnessGate.create(this.configuration);
-    this.requestPath = RequestPath.create({
+    const fleet = {
+      table,
       source: this.configuration,
+      network: this.network,
+      membership: this.membership,
+      logger: this.logger,
+      metrics: this.metrics,
+    };
+    this.limiter = BorrowingLimiter.create(fleet);
+    this.selector = PooledSelector.create({...fleet, probe: createHttpProbe()});
+    this.once = TableOnceRegistry.create(fleet);
+    this.queue = FairQueue.create({
+      slotsOf: service => this.selector.inFlightLimit(service),
+    });
+    this.requestPath = RequestPath.create({
+      ...fleet,
       keys: this.configuration,
-      limiter: StaticShareLimiter.create(this.configuration, 1),
-      selector: RandomSelector.create(this.configuration),
-      queue: UnboundedQueue.create(),
-      retries: UnlimitedRetries.create(),
+      limiter: this.limiter,
+      selector: this.selector,
+      queue: this.queue,
+      retries: this.selector.retries,
       gate: this.gate,
-      once: TableOnceRegistry.create(table),
+      once: this.once,
       forwarder: this.forwarder,
-      logger: this.logger,
-      metrics: this.metrics,
     });
     this.broker = createBroker(instance.id);
     this.gateway = EntryGateway.create(this.broker, this.requestPath, entry);
@@ -127,6 +146,11 @@
     await this.network.start();
     await this.membership.start();
     await this.configuration.start();
+    this.limiter.start();
+    this.selector.start();
+    this.once.start();
+    this.queueTimer = setInterval(() => this.queue.refresh(), QUEUE_REFRESH_MS);
+    this.gaugeTimer = setInterval(() => this.reportGauges(), GAUGE_PERIOD_MS);
     await this.broker.start();
     this.logger.info('listening', {port: this.settings.entry.port});
   }
@@ -144,8 +168,13 @@
     this.gateway.beginStop();
     await sleep(balancer_wait_ms);
     await this.finishRequests(finish_within_ms);
-    this.configuration.stop();
     await this.broker.stop();
+    clearInterval(this.queueTimer);
+    clearInterval(this.gaugeTimer);
+    this.selector.stop();
+    await this.once.stop();
+    await this.limiter.stop();
+    this.configuration.stop();
     await this.forwarder.close();
     await this.membership.stop();
     await this.network.stop();
@@ -169,6 +198,18 @@
     }
   }
 
+  private reportGauges(): void {
+    const {metrics, configuration, membership} = this;
+    metrics.gauge('requests_in_flight', this.requestPath.requestsInFlight);
+    metrics.gauge(
+      'configuration_version',
+      configuration.current()?.version ?? 0,
+    );
+    metrics.gauge('peers', membership.liveIds().length - 1);
+    const ageMs = configuration.ageMs();
+    if (Number.isFinite(ageMs)) metrics.gauge('freshness_age_ms', ageMs);
+  }
+
   private isReady(): boolean {
     return !this.stopping && this.gate.state() === 'serving';
   }
@@ -180,6 +221,10 @@
     }));
     this.dump.register('configuration', () => this.configuration.status());
     this.dump.register('membership', () => this.membership.state());
+    this.dump.register('limits', () => this.limiter.state());
+    this.dump.register('queue', () => this.queue.state());
+    this.dump.register('health', () => this.selector.state());
+    this.dump.register('once', () => this.once.state());
     this.dump.register('wire', () => ({
       peers: this.network.peers(),
       droppedFrames: this.network.droppedFrames,
--- a/packages/entry/src/test/entry-fixture.ts
+++ b/packages/entry/src/test/entry-fixture.ts
@@ -6,10 +6,12 @@
   VersionedConfiguration,
 } from '@fireflytrack/configuration';
 import {RandomSelector} from '@fireflytrack/health';
+import {FixedMembership} from '@fireflytrack/membership';
 import {TableOnceRegistry} from '@fireflytrack/once';
 import {MemoryTable} from '@fireflytrack/platform';
 import {Err, Ok} from '@fireflytrack/result';
 import {DisabledMetrics, createLogger} from '@fireflytrack/telemetry';
+import {MemoryNetwork} from '@fireflytrack/wire';
 import moleculer from 'moleculer';
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
@@ -77,6 +79,14 @@
     },
     onWithdrawn: listener => listeners.push(listener),
   };
+  const logger = createLogger({level: 'error', silent: true});
+  const self = {instanceId: 'a', availabilityZone: 'zone-a', region: 'r'};
+  const once = TableOnceRegistry.create({
+    table: MemoryTable.create(),
+    network: MemoryNetwork.create().join(self),
+    membership: FixedMembership.create(self, []),
+    logger,
+  });
   const forwarder = Forwarder.create();
   const requestPath = RequestPath.create({
     source,
@@ -85,10 +95,10 @@
     queue: UnboundedQueue.create(),
     selector: RandomSelector.create(source),
     retries: UnlimitedRetries.create(),
-    once: TableOnceRegistry.create(MemoryTable.create()),
+    once,
     forwarder,
     gate: OpenGate.create(),
-    logger: createLogger({level: 'error', silent: true}),
+    logger,
     metrics: DisabledMetrics.create(),
   });
   const broker = new moleculer.ServiceBroker({logger: false});
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -10,3 +10,17 @@
 export {FakeServer, NO_FAULTS} from './lib/health-fake-server.js';
 export type {FakeServerFaults} from './lib/health-fake-server.js';
 export * from './lib/health-checkers.js';
+export {allOnceProperties, onceRun, onceRuns} from './lib/once-runs.js';
+export {ALL_RUNS} from './lib/all-runs.js';
+export {runSoak} from './lib/soak.js';
+export {
+  PROPERTIES,
+  configurationRuns,
+  runScript,
+  seededRun,
+} from './lib/configuration-runs.js';
+export {
+  pollingInstance,
+  unconditionalInstance,
+  unfencedInstance,
+} from './lib/configuration-naive.js';
