--- a/packages/health/src/lib/pooled-selector.ts
+++ b/packages/health/src/lib/pooled-selector.ts
@@ -55,7 +55,7 @@
 
 // Frames of 40 peers arrive spread over a period; testing several times in it
 // saves most of a period of the time to detect.
-const EVALUATE_MS = 50;
+const EVALUATE_MS = 20;
 const NO_SERVER_RETRY_MS = 1000;
 // A request on its way between regions (8 ms each way) uses no slot yet; twice
 // the slots keep the servers busy meanwhile.
