Give the detection proofs of 100 fleets the time they need

Cause: the two files reached the runner's limit of 180 s on a busy machine; every other file passed. The limit is there to end a hang, so it is 900 s now.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -30,7 +30,7 @@
 const red = knownRed();
 for (const file of red) console.log(`known red, passed over: ${file}`);
 // A test that hangs must fail, not hold up CI.
-const TEST_TIMEOUT_MS = 180_000;
+const TEST_TIMEOUT_MS = 900_000;
 const args = [
   '--test',
   '--test-concurrency=4',
