--- a/packages/configuration/src/lib/key-ring.ts
+++ b/packages/configuration/src/lib/key-ring.ts
@@ -1,7 +1,7 @@
 /** The team keys of one instance: issued keys and withdrawn ids. */
 import {Err, Ok} from '@fireflytrack/result';
 import type {Result} from '@fireflytrack/result';
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {hash, timingSafeEqual} from 'node:crypto';
 import type {KeyError, KeyHolder} from './key-store.js';
 import type {KeyRecord, KeySet} from './stored-rows.js';
 import {parseTeamKey} from './team-key.js';
@@ -54,7 +54,7 @@
     const key = parseTeamKey(presentedKey);
     if (!key) return UNKNOWN;
     const entry = this.entries.get(key.keyId);
-    const presented = createHash('sha256').update(key.secret).digest();
+    const presented = hash('sha256', key.secret, 'buffer');
     const stored = entry?.secretHash ?? NO_SECRET_HASH;
     const matches = timingSafeEqual(presented, stored);
     if (!entry || !matches) return UNKNOWN;
--- a/packages/entry/src/lib/attempts.ts
+++ b/packages/entry/src/lib/attempts.ts
@@ -152,18 +152,17 @@
   }
 }
 
-async function isLate(
+function isLate(
   result: Promise<AttemptResult>,
   delayMs: number,
 ): Promise<boolean> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<boolean>(resolve => {
-    timer = setTimeout(() => resolve(true), delayMs);
+  return new Promise(resolve => {
+    const timer = setTimeout(() => resolve(true), delayMs);
+    void result.then(() => {
+      clearTimeout(timer);
+      resolve(false);
+    });
   });
-  const answered = result.then(() => false);
-  const outcome = await Promise.race([late, answered]);
-  clearTimeout(timer);
-  return outcome;
 }
 
 /** The first good result cancels the other attempt; else the later one. */
--- a/packages/entry/src/lib/caller-key.ts
+++ b/packages/entry/src/lib/caller-key.ts
@@ -83,6 +83,7 @@
     const message = 'the path must not contain a team key';
     return Err({code: 'bad_request', message});
   }
+  if (query.size === 0) return Ok(path);
   const kept = new URLSearchParams();
   for (const [name, value] of query) {
     if (name === KEY_PARAMETER) continue;
--- a/packages/entry/src/lib/request-target.ts
+++ b/packages/entry/src/lib/request-target.ts
@@ -18,6 +18,7 @@
 }
 
 const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
+const NO_QUERY = new URLSearchParams();
 const ENCODED_SEPARATOR = /%2f|%5c|\\/i;
 
 export function parseTarget(url: string): Result<RequestTarget, TargetError> {
@@ -30,6 +31,6 @@
     const message = 'the path must not hold dot segments or encoded separators';
     return Err({code: 'bad_request', message});
   }
-  const query = new URLSearchParams(mark < 0 ? '' : url.slice(mark + 1));
+  const query = mark < 0 ? NO_QUERY : new URLSearchParams(url.slice(mark + 1));
   return Ok({path, query});
 }
