Ask peers within the wait of a request while tokens are scarce

Cause: while recent answers gave little, peers were asked only every 100 ms, but a request waits at most 60 ms, so most were refused without a question although peers held fractions of tokens. Ruled out: the fair queue and the team that sends five times its rate, which gets its full rate.

--- a/packages/limits/src/lib/borrow-pace.ts
+++ b/packages/limits/src/lib/borrow-pace.ts
@@ -8,7 +8,9 @@
 const PLENTY = 0.4;
 // A near peer answers after 2 ms; short rounds let a request try several.
 const PLENTY_GAP_MS = 4;
-const SCARCE_GAP_MS = 100;
+// A request waits at most 60 ms; with a gap of 100 ms most were refused without
+// any peer being asked for them, although the peers held fractions of tokens.
+const SCARCE_GAP_MS = 20;
 // With a tick each 20 ms the memory of scarcity fades in about 2 s.
 const FADE_PER_TICK = 0.01;
 
