--- a/packages/health/src/lib/peer-reports.ts
+++ b/packages/health/src/lib/peer-reports.ts
@@ -51,19 +51,19 @@
   }
 
   /** Peers that tell one of `states` of the server, of one region if given. */
-  tellersOf(
+  reportersOf(
     serverId: string,
     states: readonly ToldState[],
     region?: string,
   ): {peerId: string; ejections: number}[] {
-    const tellers = [];
+    const reporters = [];
     for (const {peerId, region: home, entries} of this.reports.values()) {
       if (region !== undefined && home !== region) continue;
       const entry = entries.get(serverId);
       if (!entry || !states.includes(entry.state)) continue;
-      tellers.push({peerId, ejections: entry.ejections});
+      reporters.push({peerId, ejections: entry.ejections});
     }
-    return tellers;
+    return reporters;
   }
 
   peersIn(region: string): number {
--- a/packages/health/src/lib/return-policy.ts
+++ b/packages/health/src/lib/return-policy.ts
@@ -16,9 +16,9 @@
   logger: Logger;
 }
 
-const MIN_TELLERS_OF_EJECTION = 3;
+const MIN_REPORTERS_OF_EJECTION = 3;
 // One peer may be wrong or lying about a draining server.
-const MIN_TELLERS_OF_DRAINING = 2;
+const MIN_REPORTERS_OF_DRAINING = 2;
 // A probe costs the server 25 ms of a slot, and its health answer lags.
 const DRAIN_ASK_MS = 500;
 
@@ -51,14 +51,14 @@
     const {selfId, region} = health.options;
     const {serverId} = server;
     const {reports, rotation} = health;
-    const leaders = reports.tellersOf(serverId, ['readmitted'], region);
+    const leaders = reports.reportersOf(serverId, ['readmitted'], region);
     if (leaders.length > 0) {
       rotation.readmit(server, 'readmitted');
       return;
     }
     const states = ['ejected', 'draining', 'held-out'] as const;
-    const others = reports.tellersOf(serverId, states, region);
-    const otherIds = others.map(teller => teller.peerId);
+    const others = reports.reportersOf(serverId, states, region);
+    const otherIds = others.map(reporter => reporter.peerId);
     if (isProber(serverId, selfId, otherIds)) void this.ask(server);
   }
 
@@ -89,19 +89,19 @@
     if (server.ramp) return;
     const {serverId} = server;
     const {reports, rotation} = health;
-    const draining = reports.tellersOf(serverId, ['draining']);
-    const needed = Math.min(MIN_TELLERS_OF_DRAINING, liveInstances - 1);
+    const draining = reports.reportersOf(serverId, ['draining']);
+    const needed = Math.min(MIN_REPORTERS_OF_DRAINING, liveInstances - 1);
     if (draining.length > 0 && draining.length >= needed) {
       rotation.holdOut(server);
       return;
     }
     if (draining.length > 0) this.verifyDraining(server);
     const {region} = health.options;
-    const ejecting = reports.tellersOf(serverId, ['ejected'], region);
-    if (ejecting.length < MIN_TELLERS_OF_EJECTION) return;
+    const ejecting = reports.reportersOf(serverId, ['ejected'], region);
+    if (ejecting.length < MIN_REPORTERS_OF_EJECTION) return;
     if (ejecting.length <= reports.peersIn(region) / 2) return;
     if (!rotation.eject(server, 1, 'told-by-peers')) return;
-    const told = ejecting.map(teller => teller.ejections);
+    const told = ejecting.map(reporter => reporter.ejections);
     server.ejections = Math.max(server.ejections, ...told);
   }
 }
