--- /dev/null
+++ b/packages/discovery/src/index.ts
@@ -0,0 +1,17 @@
+/** Backend servers that come and go, and the feeds that report them. */
+export {discoveredServerSchema, sameIncarnation} from './lib/backend-server.js';
+export type {DiscoveredServer} from './lib/backend-server.js';
+export type {
+  ChangeFeed,
+  FeedError,
+  FeedPage,
+  FeedRow,
+} from './lib/change-feed.js';
+export {FeedFollower} from './lib/feed-follower.js';
+export type {FeedListener, FollowerOptions} from './lib/feed-follower.js';
+export {ServerCatalog} from './lib/server-catalog.js';
+export type {
+  CatalogListener,
+  CatalogServer,
+  ServerCatalogOptions,
+} from './lib/server-catalog.js';
--- /dev/null
+++ b/packages/discovery/src/lib/feed-follower.ts
@@ -0,0 +1,123 @@
+/**
+ * Follows a change feed: one full read, then changes, until stopped.
+ *
+ * A full read replaces what is known, changes are added to it. After a failure
+ * the follower goes on from the last revision if the history is still there.
+ */
+import type {Logger} from '@fireflytrack/telemetry';
+import type {ChangeFeed, FeedPage} from './change-feed.js';
+
+export interface FeedListener<Item> {
+  /** A call is about to be sent; one call is under way at a time. */
+  onCall?(): void;
+  onPage(page: FeedPage<Item>, complete: boolean): void;
+  /** The table does not answer; called once an outage. */
+  onLost?(): void;
+  onRegained?(): void;
+}
+
+export interface FollowerOptions<Item> {
+  name: string;
+  feed: ChangeFeed<Item>;
+  listener: FeedListener<Item>;
+  /** Longest wait of one call; bounds how long a dead connection is trusted. */
+  waitMs: number;
+  /** Pause after a call that brought changes; groups those that follow. */
+  pauseMs: number;
+  logger: Logger;
+}
+
+// First pause after a failed call. It doubles up to the limit; the random half
+// keeps a fleet from returning in step.
+const RETRY_PAUSE_MS = 100;
+const MAX_RETRY_PAUSE_MS = 400;
+
+export class FeedFollower<Item> {
+  private stopped = false;
+  private revision: number | undefined;
+  private failures = 0;
+  private wake: (() => void) | undefined;
+
+  private constructor(private readonly options: FollowerOptions<Item>) {}
+
+  static create<Item>(options: FollowerOptions<Item>): FeedFollower<Item> {
+    return new FeedFollower(options);
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.wake?.();
+    await this.options.feed.close();
+  }
+
+  /** Ends the pause after a failure, for a caller that needs news now. */
+  hurry(): void {
+    this.wake?.();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      const pauseMs = await this.step();
+      if (this.stopped) return;
+      if (pauseMs > 0) await this.pause(pauseMs);
+    }
+  }
+
+  private async step(): Promise<number> {
+    const {feed, waitMs, pauseMs, listener} = this.options;
+    listener.onCall?.();
+    const complete = this.revision === undefined;
+    const page = complete
+      ? await feed.readAll()
+      : await feed.changesAfter(this.revision!, waitMs);
+    if (this.stopped) return 0;
+    if (page.err) return this.failed(page.val.kind, page.val.message);
+    this.regained();
+    this.revision = page.val.revision;
+    listener.onPage(page.val, complete);
+    return page.val.rows.length > 0 ? pauseMs : 0;
+  }
+
+  private failed(kind: string, message: string): number {
+    const {name, logger, listener} = this.options;
+    if (kind === 'history-gone') {
+      logger.warn('feed history gone, reading all rows', {feed: name});
+      this.revision = undefined;
+      return 0;
+    }
+    this.failures += 1;
+    if (this.failures === 1) {
+      logger.warn('dependency lost', {dependency: name, reason: message});
+      listener.onLost?.();
+    }
+    const growth = 2 ** Math.min(this.failures - 1, 4);
+    const pauseMs = Math.min(RETRY_PAUSE_MS * growth, MAX_RETRY_PAUSE_MS);
+    return pauseMs * (0.5 + Math.random() / 2);
+  }
+
+  private regained(): void {
+    if (this.failures === 0) return;
+    const {name, logger, listener} = this.options;
+    logger.info('dependency regained', {
+      dependency: name,
+      failedCalls: this.failures,
+    });
+    this.failures = 0;
+    listener.onRegained?.();
+  }
+
+  private pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(() => this.wake?.(), durationMs);
+      this.wake = () => {
+        clearTimeout(timer);
+        this.wake = undefined;
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,5 @@
+/** The path of a request through one process, and the life of the process. */
+export {GatewayProcess} from './lib/gateway-process.js';
+export type {GatewaySources} from './lib/gateway-process.js';
+export {parseGatewaySettings} from './lib/gateway-settings.js';
+export type {GatewaySettings} from './lib/gateway-settings.js';
--- /dev/null
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -0,0 +1,63 @@
+/** Reads the body of a caller's request, held whole where it is small. */
+import {Readable} from 'node:stream';
+import type {IncomingMessage} from 'node:http';
+import type {RequestBody} from '@fireflytrack/upstream';
+
+export type BodyResult =
+  | {kind: 'read'; body: RequestBody}
+  | {kind: 'too-large'}
+  | {kind: 'abandoned'};
+
+// Bodies up to this size can be sent again to another server.
+const HOLD_BYTES = 1_048_576;
+
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<BodyResult> {
+  const {headers} = request;
+  const length = headers['content-length'];
+  const chunked = headers['transfer-encoding'] !== undefined;
+  if (!chunked && (length === undefined || Number(length) === 0)) {
+    return {kind: 'read', body: {kind: 'none'}};
+  }
+  if (Number(length) > maxBytes) return {kind: 'too-large'};
+  const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+  const chunks: Buffer[] = [];
+  let heldBytes = 0;
+  try {
+    while (heldBytes <= HOLD_BYTES) {
+      const next = await iterator.next();
+      if (next.done) {
+        const bytes = Buffer.concat(chunks);
+        return {kind: 'read', body: {kind: 'held', bytes}};
+      }
+      chunks.push(next.value);
+      heldBytes += next.value.length;
+    }
+  } catch {
+    // The caller broke its request off; its connection is gone.
+    return {kind: 'abandoned'};
+  }
+  const stream = Readable.from(rest(chunks, iterator, maxBytes));
+  return {kind: 'read', body: {kind: 'stream', stream}};
+}
+
+async function* rest(
+  held: Buffer[],
+  iterator: AsyncIterator<Buffer>,
+  maxBytes: number,
+): AsyncGenerator<Buffer> {
+  let bytes = 0;
+  for (const chunk of held) {
+    bytes += chunk.length;
+    yield chunk;
+  }
+  for (;;) {
+    const next = await iterator.next();
+    if (next.done) return;
+    bytes += next.value.length;
+    if (bytes > maxBytes) throw new Error('body over the limit');
+    yield next.value;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -0,0 +1,224 @@
+/** One gateway process: builds its parts and runs them until a stop. */
+import {FeedFollower, ServerCatalog} from '@fireflytrack/discovery';
+import type {ChangeFeed, DiscoveredServer} from '@fireflytrack/discovery';
+import type {TrafficPolicy} from '@fireflytrack/policy';
+import {BoundedLog, StateDump} from '@fireflytrack/telemetry';
+import type {Logger} from '@fireflytrack/telemetry';
+import {Upstream} from '@fireflytrack/upstream';
+import type {HeaderNames} from '@fireflytrack/upstream';
+import moleculer from 'moleculer';
+import type {ServiceBroker} from 'moleculer';
+import {CallerServer} from './caller-server.js';
+import {GatewayPath} from './gateway-path.js';
+import type {GatewaySettings} from './gateway-settings.js';
+import {PolicyHolder} from './policy-holder.js';
+import {ReadyServer} from './ready-server.js';
+import {StaticRateLimiter} from './static-rate-limiter.js';
+
+/** What the process follows outside itself. */
+export interface GatewaySources {
+  policyFeed: ChangeFeed<TrafficPolicy>;
+  /** Single reads of the policy, on a connection of their own. */
+  policyReader: ChangeFeed<TrafficPolicy>;
+  serverFeed: ChangeFeed<DiscoveredServer>;
+}
+
+// Keys are refused this long before the promise on withdrawn keys would end,
+// for the difference of clock rates.
+const REVOCATION_MARGIN_MS = 500;
+// Part of the time within which a policy is in force everywhere after which
+// "unknown" needs a new confirmation.
+const DENIAL_FRESHNESS_SHARE = 0.5;
+// The balancer stops sending connections after it missed two answers, one a
+// second.
+const BALANCER_NOTICE_MS = 2500;
+// Kept of the stop's bound for closing down after the last request.
+const STOP_MARGIN_MS = 600;
+// Idle connections of callers are closed this long before that.
+const IDLE_CLOSE_MS = 800;
+const STOP_CHECK_MS = 50;
+
+export class GatewayProcess {
+  readonly dump = StateDump.create();
+  private readonly log: BoundedLog;
+  private readonly policies: PolicyHolder;
+  private readonly catalog: ServerCatalog;
+  private readonly servers: FeedFollower<DiscoveredServer>;
+  private readonly upstream: Upstream;
+  private readonly path: GatewayPath;
+  private readonly broker: ServiceBroker;
+  private readonly callers: CallerServer;
+  private readonly ready: ReadyServer;
+  private stopping: Promise<void> | undefined;
+
+  private constructor(
+    private readonly settings: GatewaySettings,
+    sources: GatewaySources,
+    private readonly logger: Logger,
+  ) {
+    const {instance, entry, store, promises, log} = settings;
+    const linesPerSecond = log.lines_per_second;
+    this.log = BoundedLog.create({logger, linesPerSecond});
+    this.policies = PolicyHolder.create({
+      feed: sources.policyFeed,
+      reader: sources.policyReader,
+      waitMs: store.policy_wait_ms,
+      logger,
+    });
+    const headerNames = headerNamesOf(settings);
+    this.upstream = Upstream.create({
+      own: {
+        availabilityZone: instance.availability_zone,
+        region: instance.region,
+      },
+      regionOf: zone => instance.zones.get(zone),
+      headerNames,
+      repeats: {
+        ratio: promises.repeat_ratio,
+        fleetAllowance: promises.repeat_allowance,
+        windowMs: promises.repeat_window_ms,
+        maxInstances: instance.max_instances,
+      },
+      connectionLimitOf: service =>
+        this.policies.current()?.service(service)?.maxConnectionsPerServer,
+      floorShare: promises.floor_share,
+      logger,
+    });
+    this.catalog = ServerCatalog.create(
+      {lapseGraceMs: promises.lapse_grace_ms, logger},
+      {
+        onJoined: server => this.upstream.addServer(server),
+        onLeft: server => this.upstream.removeServer(server),
+      },
+    );
+    this.servers = FeedFollower.create({
+      name: 'server feed',
+      feed: sources.serverFeed,
+      waitMs: store.servers_wait_ms,
+      pauseMs: store.servers_pause_ms,
+      listener: {
+        onPage: (page, complete) => this.catalog.apply(page, complete),
+        onLost: () => this.catalog.storeLost(),
+        onRegained: () => this.catalog.storeRegained(),
+      },
+      logger,
+    });
+    this.path = GatewayPath.create({
+      policies: this.policies,
+      upstream: this.upstream,
+      limiter: StaticRateLimiter.create({
+        maxInstances: instance.max_instances,
+        windowMs: promises.rate_window_ms,
+        overrun: promises.rate_overrun,
+        slack: promises.rate_slack,
+      }),
+      headerNames,
+      keyHeader: entry.key_header,
+      keyScheme: entry.key_scheme,
+      keyFreshnessMs: this.keyFreshnessMs,
+      denialFreshnessMs: promises.policy_apply_ms * DENIAL_FRESHNESS_SHARE,
+      log: this.log,
+    });
+    this.broker = createBroker(instance.id);
+    this.callers = CallerServer.create(this.broker, {
+      ...entry.listen,
+      handle: (request, response) => this.path.handle(request, response),
+    });
+    this.ready = ReadyServer.create({
+      ...entry.ready_listen,
+      path: entry.ready_path,
+      isReady: () => this.isReady(),
+    });
+    this.dump.register('servers', () => this.upstream.state());
+    this.dump.register('policy', () => ({
+      version: this.policies.current()?.version,
+      confirmedAgeMs: this.policies.lease.ageMs(),
+    }));
+  }
+
+  static create(
+    settings: GatewaySettings,
+    sources: GatewaySources,
+    logger: Logger,
+  ): GatewayProcess {
+    return new GatewayProcess(settings, sources, logger);
+  }
+
+  async start(): Promise<void> {
+    this.policies.start();
+    this.servers.start();
+    await this.ready.start();
+    await this.broker.start();
+    const startMs = Math.round(performance.now());
+    this.logger.info('started', {startMs});
+  }
+
+  /** Stops without cutting a request, within the configured bound. */
+  stop(): Promise<void> {
+    this.stopping ??= this.runStop();
+    return this.stopping;
+  }
+
+  private get keyFreshnessMs(): number {
+    return this.settings.promises.revocation_ms - REVOCATION_MARGIN_MS;
+  }
+
+  private isReady(): boolean {
+    if (this.stopping || !this.catalog.isLoaded) return false;
+    const table = this.policies.current();
+    if (!table) return false;
+    this.callers.setTimeouts(table.policy.callerLimits);
+    return this.policies.lease.ageMs() <= this.keyFreshnessMs;
+  }
+
+  private async runStop(): Promise<void> {
+    const startedAtMs = performance.now();
+    const boundMs = this.settings.promises.stop_within_ms - STOP_MARGIN_MS;
+    this.logger.info('stopping', {inFlight: this.path.requestsInFlight});
+    this.path.beginStop();
+    for (;;) {
+      await sleep(STOP_CHECK_MS);
+      const elapsedMs = performance.now() - startedAtMs;
+      if (elapsedMs >= boundMs) break;
+      if (elapsedMs < BALANCER_NOTICE_MS) continue;
+      if (elapsedMs >= boundMs - IDLE_CLOSE_MS) this.callers.closeIdle();
+      if (this.path.requestsInFlight > 0) continue;
+      if ((await this.callers.connections) === 0) break;
+    }
+    this.log.flush();
+    this.logger.info('stopped', {cut: this.path.requestsInFlight});
+    this.ready.stop();
+    this.catalog.stop();
+    await Promise.all([this.policies.stop(), this.servers.stop()]);
+    this.upstream.close();
+  }
+}
+
+function headerNamesOf(settings: GatewaySettings): HeaderNames {
+  const {headers} = settings;
+  return {
+    requestId: headers.request_id,
+    deadlineMs: headers.deadline_ms,
+    expectedServer: headers.expected_server,
+    team: headers.team,
+    notExecuted: headers.not_executed,
+    signature: headers.signature,
+  };
+}
+
+function createBroker(nodeID: string): ServiceBroker {
+  return new moleculer.ServiceBroker({
+    nodeID,
+    logger: false,
+    transporter: null,
+    // moleculer's own signal handlers would stop the broker at once and cut
+    // the requests in flight.
+    skipProcessEventRegistration: true,
+    metrics: false,
+    tracing: false,
+  });
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -0,0 +1,119 @@
+/**
+ * Settings of one gateway process, from an INI file. See
+ * docs/configuration.md.
+ */
+import {parseIni} from '@fireflytrack/configuration';
+import type {IniDocument, TextError} from '@fireflytrack/configuration';
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import {z} from 'zod';
+
+const MAX_PORT = 65535;
+
+/** An address such as `10.1.0.24:8045`. */
+const address = z.string().transform((text, context) => {
+  const [, host, port] = /^(.+):(\d+)$/.exec(text) ?? [];
+  if (host !== undefined && Number(port) <= MAX_PORT) {
+    return {host, port: Number(port)};
+  }
+  context.addIssue({code: 'custom', message: 'expected HOST:PORT'});
+  return z.NEVER;
+});
+
+/** Pairs such as `nord-a:nord, sud-a:sud`. */
+const zoneRegions = z.string().transform((text, context) => {
+  const regions = new Map<string, string>();
+  for (const pair of text.split(',')) {
+    const [zone, region] = pair.split(':').map(part => part.trim());
+    if (!zone || !region) {
+      context.addIssue({code: 'custom', message: 'expected ZONE:REGION, ...'});
+      return z.NEVER;
+    }
+    regions.set(zone, region);
+  }
+  return regions;
+});
+
+const headerName = z.string().min(1).toLowerCase();
+const durationMs = z.coerce.number().int().positive();
+const count = z.coerce.number().int().positive();
+
+const gatewaySettingsSchema = z.strictObject({
+  instance: z.strictObject({
+    id: z.string().min(1),
+    availability_zone: z.string().min(1),
+    region: z.string().min(1),
+    zones: zoneRegions,
+    /** Most instances that may run at the same time. */
+    max_instances: count,
+  }),
+  entry: z.strictObject({
+    listen: address,
+    ready_listen: address,
+    ready_path: z.string().startsWith('/'),
+    key_header: headerName,
+    key_scheme: z.string().min(1),
+  }),
+  headers: z.strictObject({
+    request_id: headerName,
+    deadline_ms: headerName,
+    expected_server: headerName,
+    team: headerName,
+    not_executed: headerName,
+    signature: headerName,
+  }),
+  store: z.strictObject({
+    address,
+    /** Longest wait of a call that waits for changes of the policy. */
+    policy_wait_ms: durationMs,
+    /** The same for the servers. */
+    servers_wait_ms: durationMs,
+    servers_pause_ms: durationMs,
+  }),
+  promises: z.strictObject({
+    /** A withdrawn key must not work any more after this time. */
+    revocation_ms: durationMs,
+    /** A changed policy must be in force everywhere after this time. */
+    policy_apply_ms: durationMs,
+    /** A stop must have ended after this time. */
+    stop_within_ms: durationMs,
+    /** Entries that lapsed in an outage are back after this time. */
+    lapse_grace_ms: durationMs,
+    repeat_ratio: z.coerce.number().nonnegative(),
+    repeat_allowance: z.coerce.number().nonnegative(),
+    repeat_window_ms: durationMs,
+    /** Share of a service's servers that stays in use. */
+    floor_share: z.coerce.number().min(0).max(1),
+    rate_window_ms: durationMs,
+    rate_overrun: z.coerce.number().nonnegative(),
+    rate_slack: z.coerce.number().nonnegative(),
+  }),
+  log: z
+    .strictObject({
+      level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+      lines_per_second: count.default(5),
+    })
+    .prefault({}),
+});
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
+
+/** Checks a settings text; the first error is returned. */
+export function parseGatewaySettings(
+  text: string,
+  file: string,
+): Result<GatewaySettings, TextError> {
+  const document = parseIni(text, file);
+  if (document.err) return document;
+  const parsed = gatewaySettingsSchema.safeParse(plainObject(document.val));
+  if (parsed.success) return Ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const [section = '', key = ''] = (issue?.path ?? []).map(String);
+  return Err({file, section, key, expected: issue?.message ?? 'invalid'});
+}
+
+function plainObject(document: IniDocument): Record<string, unknown> {
+  const entries = [...document].map(
+    ([name, section]) => [name, Object.fromEntries(section)] as const,
+  );
+  return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/rejection.ts
@@ -0,0 +1,33 @@
+/** Answers that the gateway gives by itself. */
+
+export type RejectionCode =
+  | 'bad-request'
+  | 'key-unknown'
+  | 'route-unknown'
+  | 'body-too-large'
+  | 'headers-too-large'
+  | 'over-rate'
+  | 'not-run'
+  | 'not-fresh'
+  | 'outcome-unknown'
+  | 'deadline-passed';
+
+export interface Rejection {
+  code: RejectionCode;
+  reason: string;
+  /** When the caller may come back; only with answers that promise "not run". */
+  retryAfterMs?: number;
+}
+
+export const REJECTION_STATUS: Record<RejectionCode, number> = {
+  'bad-request': 400,
+  'key-unknown': 401,
+  'route-unknown': 404,
+  'body-too-large': 413,
+  'over-rate': 429,
+  'headers-too-large': 431,
+  'outcome-unknown': 502,
+  'not-run': 503,
+  'not-fresh': 503,
+  'deadline-passed': 504,
+};
--- /dev/null
+++ b/packages/gateway/src/lib/send-answer.ts
@@ -0,0 +1,59 @@
+/** Writes answers to callers: those of backend servers, and our own. */
+import type {ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import type {Answer} from '@fireflytrack/upstream';
+import {REJECTION_STATUS} from './rejection.js';
+import type {Rejection} from './rejection.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Writes the answer of a server unchanged; false if it broke off. */
+export async function sendAnswer(
+  response: ServerResponse,
+  answer: Answer,
+): Promise<boolean> {
+  if (response.destroyed) return false;
+  if (answer.kind === 'held') {
+    sendHeld(response, answer.status, answer.headers, answer.body);
+    return true;
+  }
+  response.writeHead(answer.status, answer.headers);
+  try {
+    await pipeline(answer.body, response);
+    return true;
+  } catch {
+    // The caller must not take a cut answer for a whole one.
+    response.destroy();
+    return false;
+  }
+}
+
+export function sendRejection(
+  response: ServerResponse,
+  rejection: Rejection,
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const {code, reason, retryAfterMs} = rejection;
+  const body = Buffer.from(JSON.stringify({error: code, reason}) + '\n');
+  const headers = ['content-type', 'application/json'];
+  if (retryAfterMs !== undefined) {
+    headers.push('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(2));
+  }
+  sendHeld(response, REJECTION_STATUS[code], headers, body);
+}
+
+function sendHeld(
+  response: ServerResponse,
+  status: number,
+  headers: string[],
+  body: Buffer,
+): void {
+  const bodiless = status === 204 || status === 304;
+  const hasLength = headers.some(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  const length =
+    bodiless || hasLength ? [] : ['content-length', String(body.length)];
+  response.writeHead(status, [...headers, ...length]);
+  response.end(body);
+}
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,13 @@
+/** Routes, teams and limits that operators set. */
+export {keyDigestOf} from './lib/key-digest.js';
+export {PolicyTable} from './lib/policy-table.js';
+export {SplitChooser} from './lib/split-chooser.js';
+export {trafficPolicySchema} from './lib/traffic-policy.js';
+export type {
+  CallerLimits,
+  ServicePolicy,
+  SplitPart,
+  TeamPolicy,
+  TrafficPolicy,
+  TrafficRoute,
+} from './lib/traffic-policy.js';
--- /dev/null
+++ b/packages/policy/src/lib/policy-table.ts
@@ -0,0 +1,93 @@
+/**
+ * A policy compiled for the request path. Finding a route costs one map
+ * lookup per slash of the path, whatever the number of routes.
+ */
+import {keyDigestOf} from './key-digest.js';
+import {SplitChooser} from './split-chooser.js';
+import type {
+  ServicePolicy,
+  TeamPolicy,
+  TrafficPolicy,
+  TrafficRoute,
+} from './traffic-policy.js';
+
+export class PolicyTable {
+  private readonly routesByHost = new Map<string, Map<string, TrafficRoute>>();
+  private readonly teamsByDigest = new Map<string, TeamPolicy>();
+  private readonly servicesByName = new Map<string, ServicePolicy>();
+  private readonly choosers = new Map<string, SplitChooser>();
+
+  private constructor(
+    readonly policy: TrafficPolicy,
+    previous: PolicyTable | undefined,
+  ) {
+    for (const route of policy.routes) {
+      const byPrefix = this.routesByHost.get(route.host) ?? new Map();
+      byPrefix.set(route.prefix, route);
+      this.routesByHost.set(route.host, byPrefix);
+      if (route.parts.length > 1) this.keepChooser(route, previous);
+    }
+    for (const team of policy.teams ?? []) {
+      for (const digest of team.keyDigests)
+        this.teamsByDigest.set(digest, team);
+    }
+    for (const service of policy.services) {
+      this.servicesByName.set(service.name, service);
+    }
+  }
+
+  /** Splits whose weights stay the same go on where `previous` stood. */
+  static create(policy: TrafficPolicy, previous?: PolicyTable): PolicyTable {
+    return new PolicyTable(policy, previous);
+  }
+
+  get version(): number {
+    return this.policy.version;
+  }
+
+  /** Whether callers need a key on routes that are not open. */
+  get needsKeys(): boolean {
+    return this.policy.teams !== undefined;
+  }
+
+  /** The route with the longest prefix of `path` among those of `host`. */
+  match(host: string, path: string): TrafficRoute | undefined {
+    const byPrefix = this.routesByHost.get(host);
+    if (!byPrefix) return undefined;
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = byPrefix.get(path.slice(0, end + 1));
+      if (route) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+
+  teamOf(key: string): TeamPolicy | undefined {
+    return this.teamsByDigest.get(keyDigestOf(key));
+  }
+
+  service(name: string): ServicePolicy | undefined {
+    return this.servicesByName.get(name);
+  }
+
+  /** The service that runs the next request of `route`. */
+  serviceFor(route: TrafficRoute): string {
+    const chooser = this.choosers.get(chooserId(route));
+    return chooser ? chooser.next() : route.parts[0]!.service;
+  }
+
+  private keepChooser(
+    route: TrafficRoute,
+    previous: PolicyTable | undefined,
+  ): void {
+    const id = chooserId(route);
+    const kept = previous?.choosers.get(id);
+    this.choosers.set(id, kept ?? SplitChooser.create(route.parts));
+  }
+}
+
+function chooserId(route: TrafficRoute): string {
+  const parts = route.parts.map(part => `${part.service}=${part.weight}`);
+  return [route.host, route.prefix, ...parts].join(' ');
+}
--- /dev/null
+++ b/packages/policy/src/lib/traffic-policy.ts
@@ -0,0 +1,95 @@
+/**
+ * What operators decide about traffic, as checked data: which host and path
+ * lead to which service, how long and how often a request may be tried, which
+ * teams hold which keys, and what a caller may send.
+ */
+import {z} from 'zod';
+
+export const splitPartSchema = z.object({
+  service: z.string().min(1),
+  /** Relative share of the route's requests. */
+  weight: z.number().nonnegative(),
+});
+export type SplitPart = z.infer<typeof splitPartSchema>;
+
+export const trafficRouteSchema = z.object({
+  name: z.string().min(1),
+  host: z.string().min(1).toLowerCase(),
+  /** Begins and ends with a slash; the longest match selects the route. */
+  prefix: z.string().regex(/^\/(.*\/)?$/),
+  /** `idempotent` requests may be repeated; `once` requests run at most once. */
+  execution: z.enum(['idempotent', 'once']),
+  /** One part, or several among which requests are split by weight. */
+  parts: z.array(splitPartSchema).min(1),
+  /** Longest time that a caller is kept waiting. */
+  timeoutMs: z.number().positive(),
+  /** Latency objective: an answer within it has its full value. */
+  targetLatencyMs: z.number().positive(),
+  /** Most servers that one request may be sent to. */
+  maxAttempts: z.number().int().min(1),
+  /** Importance; 0 is the most important. */
+  rank: z.number().int().nonnegative(),
+  /** Open routes are served without a key. */
+  open: z.boolean(),
+});
+export type TrafficRoute = z.infer<typeof trafficRouteSchema>;
+
+export const teamPolicySchema = z.object({
+  name: z.string().min(1),
+  /** SHA-256 digests of the team's keys, in base64. */
+  keyDigests: z.array(z.string().length(44)),
+  /** Goes before the rank of the route when set. */
+  rank: z.number().int().nonnegative().optional(),
+  /** 0 means no limit. */
+  ratePerSecond: z.number().nonnegative(),
+  burstTokens: z.number().nonnegative(),
+});
+export type TeamPolicy = z.infer<typeof teamPolicySchema>;
+
+export const servicePolicySchema = z.object({
+  name: z.string().min(1),
+  healthPath: z.string().startsWith('/'),
+  /** Connections that a server accepts from all callers together. */
+  maxConnectionsPerServer: z.number().int().positive(),
+});
+export type ServicePolicy = z.infer<typeof servicePolicySchema>;
+
+export const callerLimitsSchema = z.object({
+  maxHeaderBytes: z.number().int().positive(),
+  maxBodyBytes: z.number().int().positive(),
+  headerTimeoutMs: z.number().positive(),
+  idleTimeoutMs: z.number().positive(),
+});
+export type CallerLimits = z.infer<typeof callerLimitsSchema>;
+
+export const trafficPolicySchema = z
+  .object({
+    /** Grows with each change; a process never goes back. */
+    version: z.number().int().nonnegative(),
+    routes: z.array(trafficRouteSchema),
+    services: z.array(servicePolicySchema),
+    /** Absent when callers need no key. */
+    teams: z.array(teamPolicySchema).optional(),
+    callerLimits: callerLimitsSchema,
+  })
+  .superRefine((policy, context) => {
+    const services = new Set(policy.services.map(service => service.name));
+    for (const route of policy.routes) {
+      for (const {service} of route.parts) {
+        if (services.has(service)) continue;
+        const message = `route ${route.name} names the unknown service ${service}`;
+        context.addIssue({code: 'custom', message, path: ['routes']});
+      }
+    }
+    const holders = new Map<string, string>();
+    for (const team of policy.teams ?? []) {
+      for (const digest of team.keyDigests) {
+        const holder = holders.get(digest) ?? team.name;
+        holders.set(digest, holder);
+        if (holder === team.name) continue;
+        const message = `teams ${holder} and ${team.name} share a key`;
+        context.addIssue({code: 'custom', message, path: ['teams']});
+      }
+    }
+  });
+export type TrafficPolicy = z.infer<typeof trafficPolicySchema>;
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,5 @@
+export {BoundedLog} from './lib/bounded-log.js';
+export type {BoundedLogOptions} from './lib/bounded-log.js';
 export {createLogger} from './lib/logger.js';
 export type {Logger, LoggerOptions} from './lib/logger.js';
 export {StatsdMetrics, DisabledMetrics} from './lib/metrics.js';
--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -1,7 +1,7 @@
 /**
- * Structured logs: one JSON object a line on standard error, by winston.
+ * Structured logs: one JSON object a line, by winston.
  *
- * Standard output stays free for the results of commands.
+ * Programs that print results on standard output log on standard error.
  */
 import winston from 'winston';
 
@@ -12,12 +12,15 @@
   level: string;
   /** Fields that stand in every line, such as the instance id. */
   fields?: Record<string, string>;
+  /** Where lines go; standard error if absent. */
+  stream?: 'stdout' | 'stderr';
   /** Drops every line; for tests. */
   silent?: boolean;
 }
 
 /** Creates the logger of one process. */
 export function createLogger(options: LoggerOptions): Logger {
+  const levels = ['error', 'warn', 'info', 'debug'];
   return winston.createLogger({
     level: options.level,
     silent: options.silent ?? false,
@@ -28,7 +31,7 @@
     ),
     transports: [
       new winston.transports.Console({
-        stderrLevels: ['error', 'warn', 'info', 'debug'],
+        stderrLevels: options.stream === 'stdout' ? [] : levels,
       }),
     ],
   });
--- /dev/null
+++ b/packages/upstream/src/lib/attempt.ts
@@ -0,0 +1,280 @@
+/**
+ * One attempt of a request at one backend server.
+ *
+ * It tells what is certain: whether a byte may have left, whether the server
+ * said that it did not run the request, and whether the answer is the whole
+ * answer to this request.
+ */
+import {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import type {HeaderNames} from './answer-rules.js';
+import {endToEndHeaders} from './connection-headers.js';
+import type {ServerConnection} from './server-connection.js';
+import type {
+  Answer,
+  HeldAnswer,
+  StreamedAnswer,
+  UpstreamRequest,
+} from './upstream-request.js';
+
+export type AttemptResult =
+  | {kind: 'answered'; answer: Answer}
+  /** The server said that it did not run the request. */
+  | {kind: 'rejected'; status: number; reason: string}
+  /** No byte of the request left this process. */
+  | {kind: 'not-sent'; reason: string}
+  /** The request may have run. */
+  | {kind: 'failed'; reason: string};
+
+export interface AttemptOptions {
+  request: UpstreamRequest;
+  connection: ServerConnection;
+  serverId: string;
+  team: string | undefined;
+  remainingMs: number;
+  headerNames: HeaderNames;
+  /** Called once the connection carries nothing any more. */
+  onReleased(reusable: boolean): void;
+}
+
+// Answers up to this size are checked whole before the caller gets a byte.
+const HOLD_BYTES = 262_144;
+const MISDIRECTED = 421;
+const NO_DROPPED: ReadonlySet<string> = new Set(['content-length']);
+
+export class Attempt implements Dispatcher.DispatchHandler {
+  readonly result: Promise<AttemptResult>;
+  private resolve!: (result: AttemptResult) => void;
+  private controller: Dispatcher.DispatchController | undefined;
+  private settled = false;
+  private released = false;
+  private cancelled = false;
+  /** Whether a byte of the request may have left. */
+  private started = false;
+  private status = 0;
+  private rawHeaders: string[] = [];
+  private headers: Record<string, string | string[] | undefined> = {};
+  private chunks: Buffer[] = [];
+  private heldBytes = 0;
+  private stream: Readable | undefined;
+
+  private constructor(private readonly options: AttemptOptions) {
+    this.result = new Promise(resolve => {
+      this.resolve = resolve;
+    });
+  }
+
+  static start(options: AttemptOptions): Attempt {
+    const attempt = new Attempt(options);
+    attempt.dispatch();
+    return attempt;
+  }
+
+  /** Whether the server may have seen the request. */
+  get wasSent(): boolean {
+    return this.started;
+  }
+
+  /** Gives the attempt up and closes its connection. */
+  cancel(): void {
+    if (this.released) return;
+    this.cancelled = true;
+    this.fail('cancelled');
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.cancelled) {
+      controller.abort(new Error('cancelled'));
+      return;
+    }
+    this.started = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.controller = controller;
+    if (status < 200) return;
+    this.status = status;
+    this.headers = headers;
+    this.rawHeaders = Array.from(controller.rawHeaders as Buffer[], String);
+    const fault = this.headFault();
+    if (fault !== undefined) this.fail(fault);
+  }
+
+  onResponseData(_controller: unknown, chunk: Buffer): void {
+    if (this.settled && !this.stream) return;
+    if (this.stream) {
+      if (!this.stream.push(chunk)) this.controller?.pause();
+      return;
+    }
+    this.chunks.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > HOLD_BYTES) this.beginStream();
+  }
+
+  onResponseEnd(): void {
+    if (this.isCutShort()) {
+      this.fail('connection reset within an answer without a length');
+      return;
+    }
+    const reusable = this.isReusable();
+    if (this.stream) {
+      this.stream.push(null);
+      this.release(reusable);
+      return;
+    }
+    this.settle(this.outcome());
+    this.release(reusable);
+  }
+
+  onResponseError(_controller: unknown, error: Error): void {
+    this.fail(error.message);
+  }
+
+  private dispatch(): void {
+    const {request, connection} = this.options;
+    const {body} = request;
+    try {
+      connection.client.dispatch(
+        {
+          method: request.method as Dispatcher.HttpMethod,
+          path: request.target,
+          headers: this.requestHeaders(),
+          body:
+            body.kind === 'held'
+              ? body.bytes
+              : body.kind === 'stream'
+                ? body.stream
+                : null,
+          idempotent: false,
+        },
+        this,
+      );
+    } catch (error) {
+      this.fail(String(error));
+    }
+  }
+
+  private requestHeaders(): string[] {
+    const {request, headerNames, serverId, team, remainingMs} = this.options;
+    const headers = [
+      ...request.headers,
+      headerNames.deadlineMs,
+      String(Math.max(1, Math.floor(remainingMs))),
+      headerNames.expectedServer,
+      serverId,
+    ];
+    if (team !== undefined) headers.push(headerNames.team, team);
+    return headers;
+  }
+
+  private headFault(): string | undefined {
+    const {headerNames, request} = this.options;
+    if (this.headers[headerNames.requestId] !== request.requestId) {
+      const missing = this.headers[headerNames.requestId] === undefined;
+      if (missing && this.isRejection()) return undefined;
+      return `answer to another request (status ${this.status})`;
+    }
+    if (this.headers['content-encoding'] !== undefined) {
+      return 'answer with a content encoding';
+    }
+    const success = this.status < 300;
+    if (success && this.headers[headerNames.signature] === undefined) {
+      return 'success without a signature';
+    }
+    return undefined;
+  }
+
+  private isRejection(): boolean {
+    const {notExecuted} = this.options.headerNames;
+    return (
+      this.status === MISDIRECTED || this.headers[notExecuted] !== undefined
+    );
+  }
+
+  private outcome(): AttemptResult {
+    if (this.isRejection()) {
+      const reason = `server answered ${this.status}, not run`;
+      return {kind: 'rejected', status: this.status, reason};
+    }
+    const body = Buffer.concat(this.chunks);
+    const {status} = this;
+    const headers = endToEndHeaders(this.rawHeaders, NO_DROPPED);
+    if (this.options.request.method === 'HEAD') this.keepLength(headers);
+    const answer: HeldAnswer = {kind: 'held', status, headers, body};
+    return {kind: 'answered', answer};
+  }
+
+  /** The length in an answer to HEAD is that of the body it leaves out. */
+  private keepLength(headers: string[]): void {
+    const length = this.headers['content-length'];
+    if (typeof length === 'string') headers.push('content-length', length);
+  }
+
+  private beginStream(): void {
+    const stream = new Readable({
+      read: () => this.controller?.resume(),
+      destroy: (error, callback) => {
+        if (!this.released) this.cancel();
+        callback(error);
+      },
+    });
+    this.stream = stream;
+    for (const chunk of this.chunks.splice(0)) stream.push(chunk);
+    const headers = endToEndHeaders(this.rawHeaders, NO_DROPPED);
+    this.keepLength(headers);
+    const {status} = this;
+    const answer: StreamedAnswer = {
+      kind: 'streamed',
+      status,
+      headers,
+      body: stream,
+    };
+    this.settle({kind: 'answered', answer});
+  }
+
+  private isFramed(): boolean {
+    const {method} = this.options.request;
+    const bodiless = this.status === 204 || this.status === 304;
+    return (
+      method === 'HEAD' ||
+      bodiless ||
+      this.headers['content-length'] !== undefined ||
+      this.headers['transfer-encoding'] !== undefined
+    );
+  }
+
+  private isCutShort(): boolean {
+    return !this.isFramed() && this.options.connection.wasReset;
+  }
+
+  private isReusable(): boolean {
+    const {connection} = this.headers;
+    const closes = String(connection ?? '').toLowerCase() === 'close';
+    return this.isFramed() && !closes;
+  }
+
+  private fail(reason: string): void {
+    const {stream} = this;
+    this.settle({kind: this.started ? 'failed' : 'not-sent', reason});
+    this.release(false);
+    this.controller?.abort(new Error(reason));
+    stream?.destroy(new Error(reason));
+  }
+
+  private settle(result: AttemptResult): void {
+    if (this.settled) return;
+    this.settled = true;
+    this.resolve(result);
+  }
+
+  private release(reusable: boolean): void {
+    if (this.released) return;
+    this.released = true;
+    this.options.onReleased(reusable);
+  }
+}
--- /dev/null
+++ b/packages/upstream/src/lib/request-run.ts
@@ -0,0 +1,293 @@
+/**
+ * Runs one request to its outcome: the first attempt, repeats where the request
+ * allows them, a second attempt beside a slow one, the deadline, and the
+ * departure of the caller.
+ */
+import type {Logger} from '@fireflytrack/telemetry';
+import type {HeaderNames} from './answer-rules.js';
+import {NOT_RUN_STATUSES} from './answer-rules.js';
+import {Attempt} from './attempt.js';
+import type {AttemptResult} from './attempt.js';
+import type {ServerPicker} from './server-picker.js';
+import type {ServerRecord} from './server-record.js';
+import type {ServiceState} from './service-state.js';
+import type {Answer, UpstreamRequest} from './upstream-request.js';
+
+export interface RunOptions {
+  service: string;
+  request: UpstreamRequest;
+  team: string | undefined;
+  /** Whether the request may run more than once. */
+  repeatable: boolean;
+  maxAttempts: number;
+  targetLatencyMs: number;
+  /** Monotonic time by which the caller must have its answer. */
+  deadlineAtMs: number;
+  /** Aborted when the caller has left. */
+  abandoned: AbortSignal;
+}
+
+export type UpstreamOutcome =
+  | {kind: 'answered'; answer: Answer; serverId: string; attempts: number}
+  /** The request has not run and never will. */
+  | {kind: 'not-run'; reason: string; attempts: number}
+  /** The request may have run; there is no answer that could be passed on. */
+  | {kind: 'unknown'; reason: string; attempts: number}
+  /** The deadline passed after the request was sent. */
+  | {kind: 'deadline'; attempts: number}
+  | {kind: 'abandoned'; attempts: number};
+
+export interface RunShared {
+  state: ServiceState;
+  picker: ServerPicker;
+  headerNames: HeaderNames;
+  logger: Logger;
+}
+
+interface RunningAttempt {
+  attempt: Attempt;
+  record: ServerRecord;
+  startedAtMs: number;
+  done: Promise<FinishedAttempt>;
+}
+
+interface FinishedAttempt {
+  running: RunningAttempt;
+  result: AttemptResult;
+}
+
+type Event =
+  | {kind: 'finished'; finished: FinishedAttempt}
+  | {kind: 'slow'}
+  | {kind: 'deadline'}
+  | {kind: 'abandoned'};
+
+// Connections that could not be opened cost nobody anything; more than a few
+// mean that the service cannot be reached from here.
+const MAX_UNSENT_ATTEMPTS = 4;
+// A second attempt starts beside one that takes longer than this part of the
+// latency objective, or than this multiple of the typical latency.
+const HEDGE_OBJECTIVE_SHARE = 0.5;
+const HEDGE_TYPICAL_FACTOR = 2;
+const FIRST_SERVER_ERROR = 500;
+// A kept connection is more likely to be dead the longer it was idle, and a
+// non-idempotent request that is lost on one cannot be repeated.
+const MAX_IDLE_REPEATABLE_MS = 60_000;
+const MAX_IDLE_ONCE_MS = 3000;
+
+export class RequestRun {
+  private readonly running = new Set<RunningAttempt>();
+  private readonly tried = new Set<ServerRecord>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private sentAttempts = 0;
+  private unsentAttempts = 0;
+  private mayHaveRun = false;
+  private hedged = false;
+  private lastReason = 'no server of the service is known';
+  /** A whole answer that reports a server error, if nothing better comes. */
+  private fallback: {answer: Answer; serverId: string} | undefined;
+
+  private constructor(
+    private readonly options: RunOptions,
+    private readonly shared: RunShared,
+  ) {}
+
+  static create(options: RunOptions, shared: RunShared): RequestRun {
+    return new RequestRun(options, shared);
+  }
+
+  async run(): Promise<UpstreamOutcome> {
+    const ended = this.watchEnd();
+    try {
+      this.startAttempt();
+      for (;;) {
+        if (this.running.size === 0) return this.conclude();
+        const event = await this.nextEvent(ended);
+        const outcome = this.handle(event);
+        if (outcome) return outcome;
+      }
+    } finally {
+      for (const timer of this.timers) clearTimeout(timer);
+      for (const {attempt} of this.running) attempt.cancel();
+    }
+  }
+
+  private handle(event: Event): UpstreamOutcome | undefined {
+    const attempts = this.sentAttempts;
+    switch (event.kind) {
+      case 'abandoned':
+        return {kind: 'abandoned', attempts};
+      case 'deadline':
+        return this.conclude('deadline passed');
+      case 'slow':
+        this.startRepeat();
+        return undefined;
+      case 'finished':
+        return this.finished(event.finished);
+    }
+  }
+
+  private finished(finished: FinishedAttempt): UpstreamOutcome | undefined {
+    const {running, result} = finished;
+    const {record} = running;
+    const {state} = this.shared;
+    this.running.delete(running);
+    switch (result.kind) {
+      case 'answered':
+        return this.answered(running, result.answer);
+      case 'rejected':
+        this.lastReason = result.reason;
+        state.failed(record, 'rejected', result.reason);
+        this.startRepeat();
+        return undefined;
+      case 'not-sent':
+        this.lastReason = result.reason;
+        this.sentAttempts -= 1;
+        this.unsentAttempts += 1;
+        state.failed(record, 'fault', result.reason);
+        if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) this.startAttempt();
+        return undefined;
+      case 'failed':
+        this.lastReason = result.reason;
+        this.mayHaveRun = true;
+        state.failed(record, 'fault', result.reason);
+        if (this.options.repeatable) this.startRepeat();
+        return undefined;
+    }
+  }
+
+  private answered(
+    running: RunningAttempt,
+    answer: Answer,
+  ): UpstreamOutcome | undefined {
+    const {record, startedAtMs} = running;
+    const {state} = this.shared;
+    const {serverId} = record;
+    const {status} = answer;
+    if (status < FIRST_SERVER_ERROR && !NOT_RUN_STATUSES.has(status)) {
+      const latencyMs = performance.now() - startedAtMs;
+      state.answered(record, latencyMs, this.options.targetLatencyMs);
+      record.succeeded();
+      const attempts = this.sentAttempts;
+      return {kind: 'answered', answer, serverId, attempts};
+    }
+    this.mayHaveRun = true;
+    this.lastReason = `server answered ${status}`;
+    state.failed(record, 'error-status', this.lastReason);
+    // The server promised nothing with these, so the caller must not read a
+    // promise into them either.
+    if (answer.kind === 'streamed') answer.body.destroy();
+    else if (!NOT_RUN_STATUSES.has(status))
+      this.fallback ??= {answer, serverId};
+    if (this.options.repeatable) this.startRepeat();
+    return undefined;
+  }
+
+  private conclude(deadline?: string): UpstreamOutcome {
+    const attempts = this.sentAttempts;
+    if (this.fallback) return {kind: 'answered', ...this.fallback, attempts};
+    const wasSent = [...this.running].some(({attempt}) => attempt.wasSent);
+    const reason = deadline ?? this.lastReason;
+    if (deadline !== undefined && (wasSent || this.mayHaveRun)) {
+      for (const {record} of this.running) {
+        this.shared.state.failed(record, 'fault', 'no answer by the deadline');
+      }
+      return {kind: 'deadline', attempts};
+    }
+    if (this.mayHaveRun || wasSent) return {kind: 'unknown', reason, attempts};
+    return {kind: 'not-run', reason, attempts};
+  }
+
+  private startRepeat(): void {
+    const {maxAttempts, request} = this.options;
+    if (this.sentAttempts >= maxAttempts) return;
+    if (request.body.kind === 'stream') return;
+    if (!this.shared.state.budget.tryTake()) {
+      this.lastReason += '; no repeat left in the budget';
+      return;
+    }
+    this.startAttempt();
+  }
+
+  private startAttempt(): void {
+    const {options, shared} = this;
+    const {state, picker, headerNames} = shared;
+    const remainingMs = options.deadlineAtMs - performance.now();
+    if (remainingMs < 1) return;
+    const {targetLatencyMs} = options;
+    const baselineMs = state.baselineMs(targetLatencyMs);
+    const record = picker.pick(state.records, {
+      targetLatencyMs,
+      baselineMs,
+      tried: this.tried,
+    });
+    const maxIdleMs = options.repeatable
+      ? MAX_IDLE_REPEATABLE_MS
+      : MAX_IDLE_ONCE_MS;
+    const connection = record?.pool.take(maxIdleMs);
+    if (!record || !connection) return;
+    this.tried.add(record);
+    this.sentAttempts += 1;
+    record.inFlight += 1;
+    const attempt = Attempt.start({
+      request: options.request,
+      connection,
+      serverId: record.serverId,
+      team: options.team,
+      remainingMs,
+      headerNames,
+      onReleased: reusable => {
+        record.inFlight -= 1;
+        if (reusable) record.pool.giveBack(connection);
+        else record.pool.drop(connection);
+      },
+    });
+    const running: RunningAttempt = {
+      attempt,
+      record,
+      startedAtMs: performance.now(),
+      done: attempt.result.then(result => ({running, result})),
+    };
+    this.running.add(running);
+  }
+
+  private async nextEvent(ended: Promise<Event>): Promise<Event> {
+    const waits: Promise<Event>[] = [ended];
+    for (const {done} of this.running) {
+      waits.push(done.then(finished => ({kind: 'finished', finished})));
+    }
+    const hedge = this.hedgeTimer();
+    if (hedge) waits.push(hedge);
+    return Promise.race(waits);
+  }
+
+  /** Resolves when the only attempt of a repeatable request takes long. */
+  private hedgeTimer(): Promise<Event> | undefined {
+    const {repeatable, maxAttempts, targetLatencyMs} = this.options;
+    if (!repeatable || this.running.size !== 1) return undefined;
+    if (this.sentAttempts >= maxAttempts || this.hedged) return undefined;
+    this.hedged = true;
+    const typicalMs = this.shared.state.baselineMs(targetLatencyMs);
+    const delayMs = Math.max(
+      targetLatencyMs * HEDGE_OBJECTIVE_SHARE,
+      typicalMs * HEDGE_TYPICAL_FACTOR,
+    );
+    return new Promise(resolve => {
+      const timer = setTimeout(() => resolve({kind: 'slow'}), delayMs);
+      this.timers.push(timer);
+    });
+  }
+
+  private watchEnd(): Promise<Event> {
+    const {deadlineAtMs, abandoned} = this.options;
+    return new Promise(resolve => {
+      const waitMs = Math.max(0, deadlineAtMs - performance.now());
+      const timer = setTimeout(() => resolve({kind: 'deadline'}), waitMs);
+      this.timers.push(timer);
+      if (abandoned.aborted) resolve({kind: 'abandoned'});
+      abandoned.addEventListener('abort', () => resolve({kind: 'abandoned'}), {
+        once: true,
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -0,0 +1,88 @@
+/**
+ * One connection to a backend server, by an undici client of its own.
+ *
+ * The socket is opened here, so that its fate is known: undici takes an answer
+ * without a length as complete even when the connection was reset.
+ */
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {Client} from 'undici';
+import type {buildConnector} from 'undici';
+
+// A connection attempt to a live server of the farthest region takes about
+// 20 ms; a lost opening packet is repeated by the kernel after a second.
+const CONNECT_TIMEOUT_MS = 500;
+// Used when the server does not tell how long it keeps idle connections.
+const IDLE_TIMEOUT_MS = 4000;
+// Taken off the time that the server tells: a request must not cross its close.
+const IDLE_MARGIN_MS = 1500;
+
+export class ServerConnection {
+  readonly client: Client;
+  /** Monotonic time at which it became idle; for reuse rules. */
+  idleSinceMs = 0;
+  wasReset = false;
+  private socket: Socket | undefined;
+
+  private constructor(host: string, port: number, onClosed: () => void) {
+    this.client = new Client(`http://${host}:${port}`, {
+      pipelining: 1,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      // Each request has its own deadline.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (_options, callback) => {
+        this.open(host, port, callback);
+      },
+    });
+    this.client.on('disconnect', onClosed);
+  }
+
+  static create(
+    host: string,
+    port: number,
+    onClosed: () => void,
+  ): ServerConnection {
+    return new ServerConnection(host, port, onClosed);
+  }
+
+  get isOpen(): boolean {
+    return this.socket !== undefined && !this.socket.destroyed;
+  }
+
+  close(): void {
+    this.client.destroy().catch(() => {
+      // The requests on it were told; there is nobody else to tell.
+    });
+  }
+
+  private open(
+    host: string,
+    port: number,
+    callback: buildConnector.Callback,
+  ): void {
+    const socket = connect({host, port, noDelay: true});
+    let settled = false;
+    const settle = (error: Error | null) => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      if (error) callback(error, null);
+      else callback(null, socket);
+    };
+    const timer = setTimeout(() => {
+      socket.destroy();
+      settle(new Error('connect timeout'));
+    }, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      this.socket = socket;
+      settle(null);
+    });
+    socket.on('error', error => {
+      this.wasReset = true;
+      settle(error);
+    });
+    socket.once('close', () => settle(new Error('closed while connecting')));
+  }
+}
--- /dev/null
+++ b/packages/upstream/src/lib/upstream.ts
@@ -0,0 +1,99 @@
+/**
+ * Sends requests to the backend servers of services: keeps the records of the
+ * servers, and runs each request to its outcome.
+ */
+import type {CatalogServer} from '@fireflytrack/discovery';
+import type {Logger} from '@fireflytrack/telemetry';
+import type {HeaderNames} from './answer-rules.js';
+import {RequestRun} from './request-run.js';
+import type {RunOptions, UpstreamOutcome} from './request-run.js';
+import {RepeatBudget} from './repeat-budget.js';
+import type {RepeatBudgetOptions} from './repeat-budget.js';
+import {ServerPicker} from './server-picker.js';
+import type {Location} from './server-picker.js';
+import {ServerRecord} from './server-record.js';
+import {ServiceState} from './service-state.js';
+
+export interface UpstreamOptions {
+  own: Location;
+  regionOf(availabilityZone: string): string | undefined;
+  headerNames: HeaderNames;
+  repeats: RepeatBudgetOptions;
+  /** Connections that a server of `service` accepts from all instances. */
+  connectionLimitOf(service: string): number | undefined;
+  /** Share of a service's servers that stays in use. */
+  floorShare: number;
+  logger: Logger;
+}
+
+// Used until the configuration names the service's limit.
+const DEFAULT_CONNECTION_LIMIT = 100;
+
+export class Upstream {
+  private readonly services = new Map<string, ServiceState>();
+  private readonly records = new Map<CatalogServer, ServerRecord>();
+  private readonly picker: ServerPicker;
+
+  private constructor(private readonly options: UpstreamOptions) {
+    this.picker = ServerPicker.create(options.own, options.regionOf);
+  }
+
+  static create(options: UpstreamOptions): Upstream {
+    return new Upstream(options);
+  }
+
+  addServer(server: CatalogServer): void {
+    const {service} = server.report;
+    const {maxInstances} = this.options.repeats;
+    const limit =
+      this.options.connectionLimitOf(service) ?? DEFAULT_CONNECTION_LIMIT;
+    const share = Math.max(1, Math.floor(limit / maxInstances));
+    const record = ServerRecord.create(server, share);
+    this.records.set(server, record);
+    this.service(service).add(record);
+  }
+
+  removeServer(server: CatalogServer): void {
+    const record = this.records.get(server);
+    if (!record) return;
+    this.records.delete(server);
+    this.service(server.report.service).remove(record);
+    record.pool.close();
+  }
+
+  /** Runs a request; resolves with its outcome and never rejects. */
+  run(options: RunOptions): Promise<UpstreamOutcome> {
+    const state = this.service(options.service);
+    state.budget.requestArrived();
+    const {headerNames, logger} = this.options;
+    const shared = {state, picker: this.picker, headerNames, logger};
+    return RequestRun.create(options, shared).run();
+  }
+
+  hasServers(service: string): boolean {
+    return (this.services.get(service)?.records.length ?? 0) > 0;
+  }
+
+  close(): void {
+    for (const record of this.records.values()) record.pool.close();
+  }
+
+  state(): Record<string, unknown> {
+    const services = [...this.services].map(([name, state]) => [
+      name,
+      state.describe(),
+    ]);
+    return Object.fromEntries(services);
+  }
+
+  private service(name: string): ServiceState {
+    let state = this.services.get(name);
+    if (!state) {
+      const {repeats, floorShare, logger} = this.options;
+      const budget = RepeatBudget.create(repeats);
+      state = ServiceState.create({name, budget, floorShare, logger});
+      this.services.set(name, state);
+    }
+    return state;
+  }
+}
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,69 @@
+// Bundles the program that the platform starts into target/, together with a
+// V8 code cache: compiling the libraries takes most of a start.
+import {build} from 'esbuild';
+import {spawnSync} from 'node:child_process';
+import {mkdirSync, writeFileSync} from 'node:fs';
+
+const BUNDLE = 'target/fireflytrackd.bundle.cjs';
+const LOADER = 'target/fireflytrackd.cjs';
+
+mkdirSync('target', {recursive: true});
+const result = await build({
+  entryPoints: ['platform/src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: BUNDLE,
+  conditions: ['source'],
+  minifySyntax: true,
+  logLevel: 'error',
+  metafile: true,
+  // ts-results is in a module format that cannot be bundled. The others are
+  // optional parts of moleculer that this program does not use.
+  external: [
+    'ts-results',
+    '@opentelemetry/*', 'amqplib', 'avsc', 'bunyan', 'dd-trace', 'debug',
+    'etcd3', 'event-loop-stats', 'fastest-validator-*', 'gc-stats', 'ioredis',
+    'jaeger-client', 'kafka-node', 'kafkajs', 'log4js', 'mqtt', 'msgpack5',
+    'nats', 'newrelic', 'node-nats-streaming', 'notepack.io', 'pino',
+    'protobufjs', 'redlock', 'rhea-promise', 'thrift', 'v8-natives',
+    'zipkin-javascript-opentracing', '@datadog/native-metrics',
+    'cbor-x', '@andyrmitchell/*', 'bluebird', 'pino-pretty',
+  ],
+});
+if (process.argv.includes('--meta')) {
+  writeFileSync('target/meta.json', JSON.stringify(result.metafile));
+}
+const loader = `'use strict';
+const fs = require('node:fs');
+const path = require('node:path');
+const vm = require('node:vm');
+const file = path.join(__dirname, 'fireflytrackd.bundle.cjs');
+const cacheFile = file + '.cache';
+const writesCache = process.argv.includes('--write-code-cache');
+const source = fs.readFileSync(file, 'utf8');
+const cachedData =
+  !writesCache && fs.existsSync(cacheFile)
+    ? fs.readFileSync(cacheFile)
+    : undefined;
+const script = new vm.Script('(function (exports, require, module, __filename, __dirname) {' + source + '\\n})', {
+  filename: file,
+  cachedData,
+  importModuleDynamically: vm.constants?.USE_MAIN_CONTEXT_DEFAULT_LOADER,
+});
+const program = {exports: {}};
+script.runInThisContext()(program.exports, require, program, file, __dirname);
+if (writesCache) {
+  // After the first turn, so that the functions of the start are in the cache.
+  setTimeout(() => {
+    fs.writeFileSync(cacheFile, script.createCachedData());
+    process.exit(0);
+  }, 500);
+}
+`;
+writeFileSync(LOADER, loader);
+const cached = spawnSync(process.execPath, [LOADER, '--write-code-cache'], {
+  stdio: 'inherit',
+});
+process.exit(cached.status ?? 1);
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -7,8 +7,11 @@
 
 function testFiles() {
   const files = [];
-  for (const name of readdirSync('packages').sort()) {
-    const directory = join('packages', name, 'dist', 'test');
+  const folders = readdirSync('packages')
+    .sort()
+    .map(name => join('packages', name));
+  for (const folder of [...folders, 'platform']) {
+    const directory = join(folder, 'dist', 'test');
     if (!existsSync(directory)) continue;
     for (const entry of readdirSync(directory, {recursive: true}).sort()) {
       if (entry.endsWith('_test.js')) files.push(join(directory, entry));
