Pool team rates, feeds and failure evidence by availability zone

One instance leads each zone by a row written under a condition. It grants the zone's part of each rate (borrowing from other zones), reads the store's feeds for the others, and passes failures on. Buckets fill from the begin of a lead.

Ruled out: a lease for the lead, because an isolated leader grants only its own requests.

--- a/packages/discovery/src/lib/change-feed.ts
+++ b/packages/discovery/src/lib/change-feed.ts
@@ -16,6 +16,12 @@
   rows: FeedRow<Item>[];
   /** Newest revision that the page covers. */
   revision: number;
+  /**
+   * From the sending of the call to the latest moment at which the page is
+   * known to have been complete. Negative when it was passed on by another
+   * instance, positive when the table waited and nothing changed.
+   */
+  confirmedOffsetMs: number;
 }
 
 export type FeedError =
--- a/packages/gateway/src/lib/freshness-lease.ts
+++ b/packages/gateway/src/lib/freshness-lease.ts
@@ -23,11 +23,15 @@
     return new FreshnessLease();
   }
 
-  /** Records that a read which was sent at `sentAt` was answered. */
-  confirm(sentAt: ClockReading): void {
+  /**
+   * Records that a read which was sent at `sentAt` told the state of the store
+   * `offsetMs` later.
+   */
+  confirm(sentAt: ClockReading, offsetMs: number): void {
     const {confirmed} = this;
-    if (confirmed && sentAt.monotonicMs < confirmed.monotonicMs) return;
-    this.confirmed = sentAt;
+    const monotonicMs = sentAt.monotonicMs + offsetMs;
+    if (confirmed && monotonicMs < confirmed.monotonicMs) return;
+    this.confirmed = {monotonicMs, wallMs: sentAt.wallMs + offsetMs};
     for (const wake of [...this.waiting]) wake();
   }
 
--- a/packages/gateway/src/lib/gateway-path.ts
+++ b/packages/gateway/src/lib/gateway-path.ts
@@ -13,11 +13,11 @@
   UpstreamOutcome,
   UpstreamRequest,
 } from '@fireflytrack/upstream';
+import type {RateLimiter} from '@fireflytrack/zone';
 import {CallerConnection} from './caller-connection.js';
 import type {OpenCall} from './caller-connection.js';
 import {readBody} from './caller-body.js';
 import type {PolicyHolder} from './policy-holder.js';
-import type {RateLimiter} from './rate-limiter.js';
 import type {Rejection} from './rejection.js';
 import {sendAnswer, sendRejection} from './send-answer.js';
 
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -1,19 +1,24 @@
 /** One gateway process: builds its parts and runs them until a stop. */
 import {FeedFollower, ServerCatalog} from '@fireflytrack/discovery';
+import {discoveredServerSchema} from '@fireflytrack/discovery';
 import type {ChangeFeed, DiscoveredServer} from '@fireflytrack/discovery';
+import type {TableService} from '@fireflytrack/platform';
+import {trafficPolicySchema} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {BoundedLog, StateDump} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {Upstream} from '@fireflytrack/upstream';
 import type {HeaderNames} from '@fireflytrack/upstream';
+import {FeedRelay, RelayedFeed, ZoneFleet} from '@fireflytrack/zone';
+import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
 import {CallerServer} from './caller-server.js';
+import {FreshnessLease, readClocks} from './freshness-lease.js';
 import {GatewayPath} from './gateway-path.js';
 import type {GatewaySettings} from './gateway-settings.js';
-import {PolicyHolder} from './policy-holder.js';
+import {PolicyHolder, RELAY_AGE_LIMIT_MS} from './policy-holder.js';
 import {ReadyServer} from './ready-server.js';
-import {StaticRateLimiter} from './static-rate-limiter.js';
 
 /** What the process follows outside itself. */
 export interface GatewaySources {
@@ -21,14 +26,19 @@
   /** Single reads of the policy, on a connection of their own. */
   policyReader: ChangeFeed<TrafficPolicy>;
   serverFeed: ChangeFeed<DiscoveredServer>;
+  /** Holds the rows by which the instances find each other. */
+  fleetTable: TableService;
 }
 
+// The policy is asked for this often, so that a request with an unknown key or
+// route rarely needs a read of its own.
+const POLICY_RELAY_WAIT_MS = 600;
 // Keys are refused this long before the promise on withdrawn keys would end,
 // for the difference of clock rates.
 const REVOCATION_MARGIN_MS = 500;
 // Part of the time within which a policy is in force everywhere after which
 // "unknown" needs a new confirmation.
-const DENIAL_FRESHNESS_SHARE = 0.5;
+const DENIAL_FRESHNESS_SHARE = 0.9;
 // The balancer stops sending connections after it missed two answers, one a
 // second.
 const BALANCER_NOTICE_MS = 2500;
@@ -44,7 +54,11 @@
   private readonly policies: PolicyHolder;
   private readonly catalog: ServerCatalog;
   private readonly servers: FeedFollower<DiscoveredServer>;
+  /** How fresh the list of servers is. */
+  private readonly serverLease = FreshnessLease.create();
+  private serversCalledAt = readClocks();
   private readonly upstream: Upstream;
+  private readonly zone: ZoneFleet;
   private readonly path: GatewayPath;
   private readonly broker: ServiceBroker;
   private readonly callers: CallerServer;
@@ -59,12 +73,28 @@
     const {instance, entry, store, promises, log} = settings;
     const linesPerSecond = log.lines_per_second;
     this.log = BoundedLog.create({logger, linesPerSecond});
+    const policyFeed = RelayedFeed.create<TrafficPolicy>({
+      name: 'policy',
+      direct: sources.policyFeed,
+      itemSchema: trafficPolicySchema,
+      relayWaitMs: POLICY_RELAY_WAIT_MS,
+    });
     this.policies = PolicyHolder.create({
-      feed: sources.policyFeed,
+      feed: policyFeed,
       reader: sources.policyReader,
       waitMs: store.policy_wait_ms,
       logger,
     });
+    const serverFeed = RelayedFeed.create<DiscoveredServer>({
+      name: 'servers',
+      direct: sources.serverFeed,
+      itemSchema: discoveredServerSchema,
+      relayWaitMs: store.servers_wait_ms,
+    });
+    const serverRelay = FeedRelay.create<DiscoveredServer>(
+      {name: 'servers', maxAgeMs: RELAY_AGE_LIMIT_MS},
+      () => this.serverLease.ageMs(),
+    );
     const headerNames = headerNamesOf(settings);
     this.upstream = Upstream.create({
       own: {
@@ -82,6 +112,8 @@
       connectionLimitOf: service =>
         this.policies.current()?.service(service)?.maxConnectionsPerServer,
       floorShare: promises.floor_share,
+      onFailure: (serverId, service) =>
+        this.zone.reportFailure({serverId, service}),
       logger,
     });
     this.catalog = ServerCatalog.create(
@@ -93,25 +125,51 @@
     );
     this.servers = FeedFollower.create({
       name: 'server feed',
-      feed: sources.serverFeed,
+      feed: serverFeed,
       waitMs: store.servers_wait_ms,
       pauseMs: store.servers_pause_ms,
       listener: {
-        onPage: (page, complete) => this.catalog.apply(page, complete),
+        onCall: () => (this.serversCalledAt = readClocks()),
+        onPage: (page, complete) => {
+          this.catalog.apply(page, complete);
+          this.serverLease.confirm(
+            this.serversCalledAt,
+            page.confirmedOffsetMs,
+          );
+          serverRelay.keep(page, complete);
+        },
         onLost: () => this.catalog.storeLost(),
         onRegained: () => this.catalog.storeRegained(),
       },
       logger,
     });
-    this.path = GatewayPath.create({
-      policies: this.policies,
-      upstream: this.upstream,
-      limiter: StaticRateLimiter.create({
-        maxInstances: instance.max_instances,
+    this.zone = ZoneFleet.create({
+      self: {
+        instanceId: instance.id,
+        lifeId: randomUUID(),
+        availabilityZone: instance.availability_zone,
+        region: instance.region,
+        ...settings.peer.listen,
+      },
+      table: sources.fleetTable,
+      rateBounds: {
         windowMs: promises.rate_window_ms,
         overrun: promises.rate_overrun,
         slack: promises.rate_slack,
-      }),
+      },
+      teamOf: name => this.policies.current()?.team(name),
+      relays: [
+        {feed: policyFeed, relay: this.policies.relay},
+        {feed: serverFeed, relay: serverRelay},
+      ],
+      onServerFailure: ({serverId, service}) =>
+        this.upstream.suspect(serverId, service),
+      logger,
+    });
+    this.path = GatewayPath.create({
+      policies: this.policies,
+      upstream: this.upstream,
+      limiter: this.zone,
       headerNames,
       keyHeader: entry.key_header,
       keyScheme: entry.key_scheme,
@@ -130,6 +188,7 @@
       isReady: () => this.isReady(),
     });
     this.dump.register('servers', () => this.upstream.state());
+    this.dump.register('zone', () => this.zone.state());
     this.dump.register('policy', () => ({
       version: this.policies.current()?.version,
       confirmedAgeMs: this.policies.lease.ageMs(),
@@ -147,6 +206,7 @@
   async start(): Promise<void> {
     this.policies.start();
     this.servers.start();
+    this.zone.start();
     await this.ready.start();
     await this.broker.start();
     const startMs = Math.round(performance.now());
@@ -189,7 +249,11 @@
     this.logger.info('stopped', {cut: this.path.requestsInFlight});
     this.ready.stop();
     this.catalog.stop();
-    await Promise.all([this.policies.stop(), this.servers.stop()]);
+    await Promise.all([
+      this.policies.stop(),
+      this.servers.stop(),
+      this.zone.stop(),
+    ]);
     this.upstream.close();
   }
 }
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -54,6 +54,8 @@
     key_header: headerName,
     key_scheme: z.string().min(1),
   }),
+  /** Where other instances of the fleet connect to. */
+  peer: z.strictObject({listen: address}),
   headers: z.strictObject({
     request_id: headerName,
     deadline_ms: headerName,
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -9,6 +9,7 @@
 import {PolicyTable} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import type {Logger} from '@fireflytrack/telemetry';
+import {FeedRelay} from '@fireflytrack/zone';
 import {FreshnessLease, readClocks} from './freshness-lease.js';
 import type {ClockReading} from './freshness-lease.js';
 
@@ -24,9 +25,17 @@
 // A change of the policy is followed by the next call at once: storms of
 // changes come whole each time, so that a version may be skipped.
 const PAUSE_MS = 50;
+// A leader that was not confirmed for this long tells the members of its zone
+// to read the store themselves. It is above the wait of its own calls (1 s).
+export const RELAY_AGE_LIMIT_MS = 1400;
 
 export class PolicyHolder {
   readonly lease = FreshnessLease.create();
+  /** Passes the policy on to other instances of the zone. */
+  readonly relay = FeedRelay.create<TrafficPolicy>(
+    {name: 'policy', maxAgeMs: RELAY_AGE_LIMIT_MS},
+    () => this.lease.ageMs(),
+  );
   private table: PolicyTable | undefined;
   private readonly follower: FeedFollower<TrafficPolicy>;
   private confirming: Promise<void> | undefined;
@@ -41,7 +50,10 @@
       pauseMs: PAUSE_MS,
       listener: {
         onCall: () => (this.calledAt = readClocks()),
-        onPage: page => this.onPage(page, this.calledAt),
+        onPage: (page, complete) => {
+          this.onPage(page, this.calledAt);
+          this.relay.keep(page, complete);
+        },
       },
       logger,
     });
@@ -82,7 +94,7 @@
     for (const {item} of page.rows) {
       if (item) this.take(item);
     }
-    this.lease.confirm(sentAt);
+    this.lease.confirm(sentAt, page.confirmedOffsetMs);
   }
 
   private take(policy: TrafficPolicy): void {
--- a/packages/policy/src/lib/policy-table.ts
+++ b/packages/policy/src/lib/policy-table.ts
@@ -14,6 +14,7 @@
 export class PolicyTable {
   private readonly routesByHost = new Map<string, Map<string, TrafficRoute>>();
   private readonly teamsByDigest = new Map<string, TeamPolicy>();
+  private readonly teamsByName = new Map<string, TeamPolicy>();
   private readonly servicesByName = new Map<string, ServicePolicy>();
   private readonly choosers = new Map<string, SplitChooser>();
 
@@ -28,6 +29,7 @@
       if (route.parts.length > 1) this.keepChooser(route, previous);
     }
     for (const team of policy.teams ?? []) {
+      this.teamsByName.set(team.name, team);
       for (const digest of team.keyDigests)
         this.teamsByDigest.set(digest, team);
     }
@@ -67,6 +69,10 @@
     return this.teamsByDigest.get(keyDigestOf(key));
   }
 
+  team(name: string): TeamPolicy | undefined {
+    return this.teamsByName.get(name);
+  }
+
   service(name: string): ServicePolicy | undefined {
     return this.servicesByName.get(name);
   }
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -7,8 +7,8 @@
 // last about 5 s, so that two or three pauses span one.
 const FIRST_AVOID_MS = 1500;
 const MAX_AVOID_MS = 6000;
-// Strikes at which a server is avoided. A single failed status is half a
-// strike: about one request in a hundred fails at sound servers too.
+// Strikes at which a server is avoided. One failed status is enough: sound
+// servers fail about one request in a hundred, gray ones most of them.
 const AVOID_STRIKES = 1;
 const STRIKES_FORGIVEN_PER_SUCCESS = 0.25;
 
@@ -17,12 +17,15 @@
   | 'fault'
   /** A whole answer that reports a server error. */
   | 'error-status'
+  /** Another instance saw a fault or an error status. */
+  | 'reported'
   /** The server is full and did not run the request. */
   | 'rejected';
 
 const STRIKES: Record<FailureSign, number> = {
   fault: 1,
-  'error-status': 0.5,
+  'error-status': 1,
+  reported: 1,
   rejected: 0.5,
 };
 
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -8,6 +8,8 @@
   budget: RepeatBudget;
   /** Share of the servers that stays in use whatever they do. */
   floorShare: number;
+  /** A server failed a request of this instance. */
+  onFailure(serverId: string): void;
   logger: Logger;
 }
 
@@ -54,6 +56,17 @@
   }
 
   failed(record: ServerRecord, sign: FailureSign, reason: string): void {
+    if (sign !== 'rejected') this.options.onFailure(record.serverId);
+    this.judge(record, sign, reason);
+  }
+
+  /** Another instance saw the server fail. */
+  suspect(serverId: string): void {
+    const record = this.records.find(one => one.serverId === serverId);
+    if (record) this.judge(record, 'reported', 'another instance reported it');
+  }
+
+  private judge(record: ServerRecord, sign: FailureSign, reason: string): void {
     if (!record.failed(sign)) return;
     const {name, logger} = this.options;
     logger.info('server avoided', {
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -23,6 +23,8 @@
   connectionLimitOf(service: string): number | undefined;
   /** Share of a service's servers that stays in use. */
   floorShare: number;
+  /** A server failed a request of this instance. */
+  onFailure(serverId: string, service: string): void;
   logger: Logger;
 }
 
@@ -61,6 +63,11 @@
     record.pool.close();
   }
 
+  /** Another instance saw the server fail. */
+  suspect(serverId: string, service: string): void {
+    this.services.get(service)?.suspect(serverId);
+  }
+
   /** Runs a request; resolves with its outcome and never rejects. */
   run(options: RunOptions): Promise<UpstreamOutcome> {
     const state = this.service(options.service);
@@ -89,9 +96,15 @@
   private service(name: string): ServiceState {
     let state = this.services.get(name);
     if (!state) {
-      const {repeats, floorShare, logger} = this.options;
+      const {repeats, floorShare, onFailure, logger} = this.options;
       const budget = RepeatBudget.create(repeats);
-      state = ServiceState.create({name, budget, floorShare, logger});
+      state = ServiceState.create({
+        name,
+        budget,
+        floorShare,
+        onFailure: serverId => onFailure(serverId, name),
+        logger,
+      });
       this.services.set(name, state);
     }
     return state;
--- /dev/null
+++ b/packages/zone/src/index.ts
@@ -0,0 +1,10 @@
+/** One leading instance per availability zone, and what it does for others. */
+export type {ServerFailure} from './lib/failure-exchange.js';
+export {FeedRelay} from './lib/feed-relay.js';
+export {RelayedFeed} from './lib/relayed-feed.js';
+export type {Leader} from './lib/leader-row.js';
+export type {RateDecision, RateLimiter} from './lib/rate-limiter.js';
+export type {RateBounds} from './lib/zone-buckets.js';
+export {ZoneBuckets} from './lib/zone-buckets.js';
+export {ZoneFleet} from './lib/zone-fleet.js';
+export type {ZoneFleetOptions} from './lib/zone-fleet.js';
--- /dev/null
+++ b/packages/zone/src/lib/zone-buckets.ts
@@ -0,0 +1,98 @@
+/**
+ * The part of each team's rate that one availability zone may use.
+ *
+ * Each leading instance holds one bucket per team. Buckets are empty when the
+ * lead begins: what a leader before it granted a moment ago is not known, and
+ * the burst must not be granted twice.
+ */
+import type {TeamPolicy} from '@fireflytrack/policy';
+
+export interface RateBounds {
+  /** Span over which the rate of a team is judged. */
+  windowMs: number;
+  /** Share by which a team may pass its rate and burst in one window. */
+  overrun: number;
+  /** Requests by which it may pass them beside that. */
+  slack: number;
+}
+
+interface Bucket {
+  tokens: number;
+  filledAtMs: number;
+}
+
+const MS_PER_SECOND = 1000;
+// Part of the room above the rate that is used. The rest covers leaders that
+// act while they are being replaced.
+const USED_SHARE = 0.8;
+
+export class ZoneBuckets {
+  private readonly buckets = new Map<string, Bucket>();
+  private leadsSinceMs = performance.now();
+
+  private constructor(
+    private readonly bounds: RateBounds,
+    private readonly zoneCount: () => number,
+  ) {}
+
+  static create(bounds: RateBounds, zoneCount: () => number): ZoneBuckets {
+    return new ZoneBuckets(bounds, zoneCount);
+  }
+
+  /** Empties all buckets; for the begin of a lead. */
+  clear(): void {
+    this.buckets.clear();
+    this.leadsSinceMs = performance.now();
+  }
+
+  tryTake(team: TeamPolicy): boolean {
+    const bucket = this.fill(team);
+    if (bucket.tokens < 1) return false;
+    bucket.tokens -= 1;
+    return true;
+  }
+
+  /** Takes up to `wanted` tokens for another zone; keeps half of what is here. */
+  lend(team: TeamPolicy, wanted: number): number {
+    const bucket = this.fill(team);
+    const lent = Math.min(wanted, Math.floor(bucket.tokens / 2));
+    bucket.tokens -= lent;
+    return lent;
+  }
+
+  add(team: TeamPolicy, tokens: number): void {
+    const bucket = this.fill(team);
+    bucket.tokens = Math.min(this.depth(team), bucket.tokens + tokens);
+  }
+
+  /** Time until the next token. */
+  waitMs(team: TeamPolicy): number {
+    const missing = Math.max(0, 1 - this.fill(team).tokens);
+    return missing / this.ratePerMs(team);
+  }
+
+  private fill(team: TeamPolicy): Bucket {
+    const nowMs = performance.now();
+    let bucket = this.buckets.get(team.name);
+    if (!bucket) {
+      bucket = {tokens: 0, filledAtMs: this.leadsSinceMs};
+      this.buckets.set(team.name, bucket);
+    }
+    const gained = (nowMs - bucket.filledAtMs) * this.ratePerMs(team);
+    bucket.tokens = Math.min(this.depth(team), bucket.tokens + gained);
+    bucket.filledAtMs = nowMs;
+    return bucket;
+  }
+
+  private ratePerMs(team: TeamPolicy): number {
+    return team.ratePerSecond / MS_PER_SECOND / this.zoneCount();
+  }
+
+  private depth(team: TeamPolicy): number {
+    const {windowMs, overrun, slack} = this.bounds;
+    const perWindow = (team.ratePerSecond * windowMs) / MS_PER_SECOND;
+    const spare = (perWindow + team.burstTokens) * overrun + slack;
+    const room = (team.burstTokens + spare) * USED_SHARE;
+    return Math.max(1, room / this.zoneCount());
+  }
+}
--- /dev/null
+++ b/packages/zone/src/lib/zone-election.ts
@@ -0,0 +1,201 @@
+/**
+ * Agrees which instance leads an availability zone, by one row of the shared
+ * table that is written under a condition.
+ *
+ * An instance takes the lead when it cannot reach the one that the row names.
+ * What a leader does must be safe while the one before it still acts: it
+ * learns of its loss by its next look at the row.
+ */
+import type {TableRow, TableService} from '@fireflytrack/platform';
+import type {Logger} from '@fireflytrack/telemetry';
+import type {PeerDialer, PeerNetwork} from '@fireflytrack/wire';
+import {leaderKeyOf, leadersOf, versionOf} from './leader-row.js';
+import type {Leader} from './leader-row.js';
+
+export interface ZoneElectionOptions {
+  self: Leader;
+  table: TableService;
+  network: PeerNetwork & PeerDialer;
+  logger: Logger;
+  /** Called when this instance begins to lead. */
+  onLead(): void;
+}
+
+export const CONFIRM_LEADER = 'zone.confirm';
+
+// A leader looks at its row this often; it bounds how long two may act.
+const LEADER_CHECK_MS = 2000;
+// A member looks whether its connection to the leader stands.
+const MEMBER_CHECK_MS = 250;
+// A connection within a zone takes some milliseconds; a leader that has just
+// started may take a second to listen.
+const REACH_WAIT_MS = 900;
+const REACH_CHECK_MS = 30;
+const CONNECT_CHECK_MS = 10;
+const CONFIRM_TIMEOUT_MS = 400;
+const STORE_RETRY_MS = 500;
+// Spreads the members that lost their leader at the same moment.
+const CANDIDATE_SPREAD_MS = 250;
+// Rows of all zones and the secret fit.
+const MAX_ROWS = 200;
+
+export class ZoneElection {
+  private leaders = new Map<string, Leader>();
+  private leads = false;
+  private stopped = false;
+
+  private constructor(private readonly options: ZoneElectionOptions) {
+    const {network, self} = options;
+    network.onRequest(CONFIRM_LEADER, () => ({
+      leads: this.leads && !this.stopped,
+      lifeId: self.lifeId,
+    }));
+  }
+
+  static create(options: ZoneElectionOptions): ZoneElection {
+    return new ZoneElection(options);
+  }
+
+  /** Whether this instance leads its zone. */
+  get isLeader(): boolean {
+    return this.leads && !this.stopped;
+  }
+
+  /** The leader of the own zone, if it is known and connected. */
+  get reachableLeader(): Leader | undefined {
+    const {self} = this.options;
+    const leader = this.leaders.get(self.availabilityZone);
+    if (!leader || leader.instanceId === self.instanceId) return undefined;
+    return this.isConnected(leader) ? leader : undefined;
+  }
+
+  /** Leaders of the other zones, those of the own region first. */
+  get otherLeaders(): Leader[] {
+    const {self} = this.options;
+    const others = [...this.leaders.values()].filter(
+      leader => leader.availabilityZone !== self.availabilityZone,
+    );
+    const distance = (leader: Leader) =>
+      leader.region === self.region ? 0 : 1;
+    return others.sort((one, other) => distance(one) - distance(other));
+  }
+
+  /** Zones that have a leader, at least the own one. */
+  get zoneCount(): number {
+    return Math.max(1, this.leaders.size);
+  }
+
+  start(rows: readonly TableRow[]): void {
+    this.learn(rows);
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      const rows = await this.options.table.scan('', MAX_ROWS);
+      if (this.stopped) return;
+      if (rows.err) {
+        await sleep(STORE_RETRY_MS);
+        continue;
+      }
+      this.learn(rows.val);
+      if (this.leads) await sleep(LEADER_CHECK_MS);
+      else if (await this.reach()) await this.whileConnected();
+      else await this.takeLead(rows.val);
+    }
+  }
+
+  private learn(rows: readonly TableRow[]): void {
+    const {self, logger} = this.options;
+    const leaders = leadersOf(rows);
+    this.leaders = new Map();
+    for (const [zone, {leader}] of leaders) this.leaders.set(zone, leader);
+    const own = this.leaders.get(self.availabilityZone);
+    const leads = own?.lifeId === self.lifeId;
+    if (leads === this.leads) return;
+    this.leads = leads;
+    if (leads) this.options.onLead();
+    const leader = own?.instanceId;
+    logger.info(leads ? 'leads the zone' : 'lost the lead of the zone', {
+      availabilityZone: self.availabilityZone,
+      leader,
+    });
+  }
+
+  /** Connects to the leader of the row; whether it is there and leads. */
+  private async reach(): Promise<boolean> {
+    const {network, self, logger} = this.options;
+    const leader = this.leaders.get(self.availabilityZone);
+    if (!leader || leader.instanceId === self.instanceId) return false;
+    network.connectTo(leader);
+    const giveUpAtMs = performance.now() + REACH_WAIT_MS;
+    while (!this.isConnected(leader)) {
+      if (performance.now() >= giveUpAtMs || this.stopped) {
+        network.disconnect(leader.instanceId);
+        return false;
+      }
+      await sleep(REACH_CHECK_MS);
+    }
+    const answer = await network.request(
+      leader.instanceId,
+      CONFIRM_LEADER,
+      {},
+      CONFIRM_TIMEOUT_MS,
+    );
+    const confirmed =
+      answer.ok &&
+      (answer.val as {leads?: unknown} | undefined)?.leads === true;
+    if (confirmed) logger.info('follows leader', {leader: leader.instanceId});
+    else network.disconnect(leader.instanceId);
+    return confirmed;
+  }
+
+  private async whileConnected(): Promise<void> {
+    const {network, self, logger} = this.options;
+    const leader = this.leaders.get(self.availabilityZone)!;
+    while (!this.stopped && this.isConnected(leader)) {
+      await sleep(MEMBER_CHECK_MS);
+    }
+    if (this.stopped) return;
+    network.disconnect(leader.instanceId);
+    logger.warn('dependency lost', {dependency: 'zone leader'});
+  }
+
+  private async takeLead(rows: readonly TableRow[]): Promise<void> {
+    const {self, table} = this.options;
+    await sleep(Math.random() * CANDIDATE_SPREAD_MS);
+    if (this.stopped) return;
+    const key = leaderKeyOf(self.availabilityZone);
+    const ifVersion = versionOf(rows, key);
+    const put = {kind: 'put' as const, key, ifVersion, value: self};
+    const result = await table.batch([put], {atomic: true});
+    if (result.err) await sleep(STORE_RETRY_MS);
+  }
+
+  /** Connects to a leader of another zone; whether that came about in time. */
+  async connect(leader: Leader, waitMs: number): Promise<boolean> {
+    if (this.isConnected(leader)) return true;
+    this.options.network.connectTo(leader);
+    const giveUpAtMs = performance.now() + waitMs;
+    while (performance.now() < giveUpAtMs) {
+      await sleep(CONNECT_CHECK_MS);
+      if (this.isConnected(leader)) return true;
+    }
+    return false;
+  }
+
+  private isConnected(leader: Leader): boolean {
+    const {instanceId} = leader;
+    return this.options.network
+      .peers()
+      .some(peer => peer.instanceId === instanceId);
+  }
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -0,0 +1,157 @@
+/**
+ * The part of this instance in its availability zone: its place in the peer
+ * network, the election of the leader, and what the leader does for others.
+ *
+ * The peer network needs the fleet's secret from the shared table, so that it
+ * starts when the table was read; until then no rate is granted.
+ */
+import type {TableRow, TableService} from '@fireflytrack/platform';
+import type {TeamPolicy} from '@fireflytrack/policy';
+import type {Logger} from '@fireflytrack/telemetry';
+import {TcpPeerNetwork} from '@fireflytrack/wire';
+import {secretIn, storeSecret} from './fleet-secret.js';
+import {FailureExchange} from './failure-exchange.js';
+import type {ServerFailure} from './failure-exchange.js';
+import type {FeedRelay} from './feed-relay.js';
+import type {RelayedFeed} from './relayed-feed.js';
+import type {Leader} from './leader-row.js';
+import type {RateDecision, RateLimiter} from './rate-limiter.js';
+import type {RateBounds} from './zone-buckets.js';
+import {ZoneElection} from './zone-election.js';
+import {ZoneRateLimiter} from './zone-rate-limiter.js';
+
+export interface ZoneFleetOptions {
+  self: Leader;
+  table: TableService;
+  rateBounds: RateBounds;
+  teamOf(name: string): TeamPolicy | undefined;
+  /** Feeds that the leader reads for the zone. */
+  relays: RelayPair[];
+  /** Another instance saw a backend server fail. */
+  onServerFailure(failure: ServerFailure): void;
+  logger: Logger;
+}
+
+/** A feed as this instance reads it and as it passes it on. */
+export interface RelayPair {
+  feed: Pick<RelayedFeed<never>, 'useRelay'>;
+  relay: Pick<FeedRelay<never>, 'serve'>;
+}
+
+// Spreads the first reads and writes of instances that start together.
+const START_SPREAD_MS = 300;
+const STORE_RETRY_MS = 300;
+const NOT_JOINED_RETRY_MS = 300;
+const MAX_ROWS = 200;
+
+export class ZoneFleet implements RateLimiter {
+  private network: TcpPeerNetwork | undefined;
+  private election: ZoneElection | undefined;
+  private limiter: ZoneRateLimiter | undefined;
+  private failures: FailureExchange | undefined;
+  private stopped = false;
+
+  private constructor(private readonly options: ZoneFleetOptions) {}
+
+  static create(options: ZoneFleetOptions): ZoneFleet {
+    return new ZoneFleet(options);
+  }
+
+  start(): void {
+    this.join().catch((error: unknown) => {
+      const reason = String(error);
+      this.options.logger.error('zone not joined', {reason});
+    });
+  }
+
+  /** Gives the lead up; other instances of the zone notice at once. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.election?.stop();
+    await this.network?.stop();
+  }
+
+  admit(team: TeamPolicy): RateDecision | Promise<RateDecision> {
+    if (this.limiter) return this.limiter.admit(team);
+    if (team.ratePerSecond === 0) return {admitted: true};
+    return {admitted: false, retryAfterMs: NOT_JOINED_RETRY_MS};
+  }
+
+  giveBack(team: TeamPolicy): void {
+    this.limiter?.giveBack(team);
+  }
+
+  /** Tells the other instances that a backend server failed. */
+  reportFailure(failure: ServerFailure): void {
+    this.failures?.report(failure);
+  }
+
+  state(): unknown {
+    const {election} = this;
+    return {
+      leads: election?.isLeader ?? false,
+      leader: election?.reachableLeader?.instanceId,
+      zones: election?.zoneCount,
+    };
+  }
+
+  private async join(): Promise<void> {
+    await sleep(Math.random() * START_SPREAD_MS);
+    const found = await this.readTable();
+    if (!found || this.stopped) return;
+    const {self, table, rateBounds, teamOf, logger} = this.options;
+    const {instanceId, availabilityZone, region, host, port} = self;
+    const network = TcpPeerNetwork.create({
+      self: {instanceId, availabilityZone, region},
+      host,
+      port,
+      fleetSecret: found.secret,
+      logger,
+    });
+    await network.start();
+    const onLead = () => this.limiter?.beginLead();
+    const election = ZoneElection.create({
+      self,
+      table,
+      network,
+      logger,
+      onLead,
+    });
+    this.network = network;
+    this.election = election;
+    this.limiter = ZoneRateLimiter.create({
+      bounds: rateBounds,
+      election,
+      network,
+      teamOf,
+    });
+    this.failures = FailureExchange.create({
+      network,
+      election,
+      onFailure: failure => this.options.onServerFailure(failure),
+    });
+    for (const {feed, relay} of this.options.relays) {
+      relay.serve(network, election);
+      feed.useRelay({network, election});
+    }
+    election.start(found.rows);
+  }
+
+  private async readTable(): Promise<
+    {secret: string; rows: TableRow[]} | undefined
+  > {
+    const {table} = this.options;
+    while (!this.stopped) {
+      const rows = await table.scan('', MAX_ROWS);
+      const secret = rows.ok ? secretIn(rows.val) : undefined;
+      if (rows.ok && secret !== undefined) return {secret, rows: rows.val};
+      if (rows.ok) await storeSecret(table);
+      else await sleep(STORE_RETRY_MS);
+    }
+    return undefined;
+  }
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -29,7 +29,7 @@
     'nats', 'newrelic', 'node-nats-streaming', 'notepack.io', 'pino',
     'protobufjs', 'redlock', 'rhea-promise', 'thrift', 'v8-natives',
     'zipkin-javascript-opentracing', '@datadog/native-metrics',
-    'cbor-x', '@andyrmitchell/*', 'bluebird', 'pino-pretty',
+    'cbor-extract', '@andyrmitchell/*', 'bluebird', 'pino-pretty',
   ],
 });
 if (process.argv.includes('--meta')) {
