--- /dev/null
+++ b/packages/discovery/src/test/server-catalog_test.ts
@@ -0,0 +1,112 @@
+/** Guards against requests to servers that left, and against lost servers. */
+import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
+import {createLogger} from '@fireflytrack/telemetry';
+import {expect} from 'earl';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import type {DiscoveredServer} from '../lib/backend-server.js';
+import type {FeedRow} from '../lib/change-feed.js';
+import {ServerCatalog} from '../lib/server-catalog.js';
+
+const LAPSE_GRACE_MS = 2500;
+const OUTAGE_MS = 4000;
+
+function server(change: Partial<DiscoveredServer> = {}): DiscoveredServer {
+  return {
+    serverId: 's1',
+    startedAtMs: 1,
+    host: '10.0.0.1',
+    port: 80,
+    service: 'counting',
+    availabilityZone: 'nord-a',
+    softwareVersion: 'v1',
+    slots: 4,
+    state: 'ready',
+    warmupLeftMs: 0,
+    ...change,
+  };
+}
+
+describe('server catalog', () => {
+  let clock: Clock;
+  let catalog: ServerCatalog;
+  let joined: number;
+
+  beforeEach(() => {
+    clock = FakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    clock.tick(10_000);
+    joined = 0;
+    const logger = createLogger({level: 'error', silent: true});
+    catalog = ServerCatalog.create(
+      {lapseGraceMs: LAPSE_GRACE_MS, logger},
+      {onJoined: () => (joined += 1), onLeft: () => {}},
+    );
+    put([server()], true);
+  });
+  afterEach(() => clock.uninstall());
+
+  function put(servers: DiscoveredServer[], complete = false): void {
+    const rows = servers.map(item => ({key: item.serverId, item}));
+    page(rows, complete);
+  }
+
+  function page(rows: FeedRow<DiscoveredServer>[], complete = false): void {
+    catalog.apply({rows, revision: 1, confirmedOffsetMs: 0}, complete);
+  }
+
+  const removal = {key: 's1', item: undefined};
+  const inUse = () => catalog.serversOf('counting').length;
+
+  it('drops a draining or removed server at once', () => {
+    put([server({state: 'draining'})]);
+    expect(inUse()).toEqual(0);
+    put([server()]);
+    page([removal]);
+    expect(inUse()).toEqual(0);
+  });
+
+  it('treats a start under the same id as another server', () => {
+    put([server({startedAtMs: 2})]);
+    expect(inUse()).toEqual(1);
+    expect(joined).toEqual(2);
+  });
+
+  it('keeps entries that lapsed in an outage until they had time to return', () => {
+    catalog.storeLost();
+    clock.tick(OUTAGE_MS);
+    catalog.storeRegained();
+    page([], true);
+    clock.tick(LAPSE_GRACE_MS - 1);
+    expect(inUse()).toEqual(1);
+    clock.tick(1);
+    expect(inUse()).toEqual(0);
+  });
+
+  it('keeps an entry that came back within the grace', () => {
+    catalog.storeLost();
+    clock.tick(OUTAGE_MS);
+    catalog.storeRegained();
+    page([removal]);
+    put([server()]);
+    clock.tick(LAPSE_GRACE_MS);
+    expect(inUse()).toEqual(1);
+  });
+
+  it('drops a server that drains during the grace at once', () => {
+    catalog.storeLost();
+    clock.tick(OUTAGE_MS);
+    catalog.storeRegained();
+    put([server({state: 'draining'})]);
+    expect(inUse()).toEqual(0);
+  });
+
+  it('does not hold removals after a single failed call', () => {
+    catalog.storeLost();
+    clock.tick(200);
+    catalog.storeRegained();
+    page([removal]);
+    expect(inUse()).toEqual(0);
+  });
+});
--- /dev/null
+++ b/packages/policy/src/test/policy-table_test.ts
@@ -0,0 +1,129 @@
+/** Guards against requests that reach the wrong service or team. */
+import {expect} from 'earl';
+import {describe, it} from 'node:test';
+import {keyDigestOf} from '../lib/key-digest.js';
+import {PolicyTable} from '../lib/policy-table.js';
+import {SplitChooser} from '../lib/split-chooser.js';
+import {trafficPolicySchema} from '../lib/traffic-policy.js';
+import type {TrafficPolicy} from '../lib/traffic-policy.js';
+
+function policyWith(change: Partial<TrafficPolicy> = {}): TrafficPolicy {
+  return {
+    version: 1,
+    routes: [routeOf('/', 'whole'), routeOf('/a/', 'a'), routeOf('/a/b/', 'b')],
+    services: ['whole', 'a', 'b'].map(name => ({
+      name,
+      healthPath: '/health',
+      maxConnectionsPerServer: 10,
+    })),
+    teams: [
+      {
+        name: 'north',
+        keyDigests: [keyDigestOf('key-north')],
+        ratePerSecond: 5,
+        burstTokens: 5,
+      },
+    ],
+    callerLimits: {
+      maxHeaderBytes: 1000,
+      maxBodyBytes: 1000,
+      headerTimeoutMs: 1000,
+      idleTimeoutMs: 1000,
+    },
+    ...change,
+  };
+}
+
+function routeOf(prefix: string, service: string): TrafficPolicy['routes'][0] {
+  return {
+    name: service,
+    host: 'shop.example',
+    prefix,
+    execution: 'idempotent',
+    parts: [{service, weight: 1}],
+    timeoutMs: 1000,
+    targetLatencyMs: 500,
+    maxAttempts: 2,
+    rank: 0,
+    open: false,
+  };
+}
+
+describe('policy table', () => {
+  const table = PolicyTable.create(policyWith());
+
+  it('selects the longest prefix that begins the path', () => {
+    const match = (path: string) => table.match('shop.example', path)?.name;
+    expect(match('/x')).toEqual('whole');
+    expect(match('/a/x')).toEqual('a');
+    expect(match('/a/b/x')).toEqual('b');
+    expect(match('/a/b')).toEqual('a');
+    expect(match('/ab/x')).toEqual('whole');
+  });
+
+  it('keeps hosts apart', () => {
+    expect(table.match('other.example', '/a/x')).toEqual(undefined);
+  });
+
+  it('finds the team of a key by its digest only', () => {
+    expect(table.teamOf('key-north')?.name).toEqual('north');
+    expect(table.teamOf('key-south')).toEqual(undefined);
+    expect(JSON.stringify(table.policy).includes('key-north')).toEqual(false);
+  });
+
+  it('rejects routes to unknown services and keys that two teams share', () => {
+    const unknown = policyWith({routes: [routeOf('/', 'missing')]});
+    expect(trafficPolicySchema.safeParse(unknown).success).toEqual(false);
+    const team = policyWith().teams![0]!;
+    const shared = policyWith({teams: [team, {...team, name: 'south'}]});
+    expect(trafficPolicySchema.safeParse(shared).success).toEqual(false);
+    expect(trafficPolicySchema.safeParse(policyWith()).success).toEqual(true);
+  });
+
+  it('rejects prefixes that do not begin and end with a slash', () => {
+    for (const prefix of ['a/', '/a', '']) {
+      const policy = policyWith({routes: [routeOf(prefix, 'a')]});
+      expect(trafficPolicySchema.safeParse(policy).success).toEqual(false);
+    }
+  });
+});
+
+describe('split chooser', () => {
+  it('keeps the weights over few requests', () => {
+    const chooser = SplitChooser.create([
+      {service: 'stable', weight: 90},
+      {service: 'canary', weight: 10},
+    ]);
+    let canary = 0;
+    for (let index = 0; index < 100; index += 1) {
+      if (chooser.next() === 'canary') canary += 1;
+    }
+    expect(canary >= 9 && canary <= 11).toEqual(true);
+  });
+
+  it('never chooses a part without weight', () => {
+    const chooser = SplitChooser.create([
+      {service: 'off', weight: 0},
+      {service: 'on', weight: 3},
+    ]);
+    for (let index = 0; index < 20; index += 1) {
+      expect(chooser.next()).toEqual('on');
+    }
+  });
+
+  it('keeps the shares of a fleet whose processes see two requests each', () => {
+    let canary = 0;
+    for (let process = 0; process < 400; process += 1) {
+      const chooser = SplitChooser.create([
+        {service: 'stable', weight: 70},
+        {service: 'canary', weight: 30},
+      ]);
+      for (let index = 0; index < 2; index += 1) {
+        if (chooser.next() === 'canary') canary += 1;
+      }
+    }
+    const share = canary / 800;
+    // The users' tolerance of a split is 0.1.
+    expect(Math.abs(share - 0.3) < 0.1).toEqual(true);
+  });
+});
--- /dev/null
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -0,0 +1,234 @@
+/**
+ * Guards against answers that are not the caller's own and whole, and against
+ * one-time requests that run twice.
+ */
+import {createLogger} from '@fireflytrack/telemetry';
+import {expect} from 'earl';
+import {afterEach, describe, it} from 'node:test';
+import {ScriptedServer, answerTo} from '../testing/scripted-server.js';
+import type {Script} from '../testing/scripted-server.js';
+import {Upstream} from '../lib/upstream.js';
+import type {RunOptions, UpstreamOutcome} from '../lib/request-run.js';
+
+const SERVICE = 'counting';
+const HEADER_NAMES = {
+  requestId: 'request-id',
+  deadlineMs: 'deadline-ms',
+  expectedServer: 'expected-server',
+  team: 'team',
+  notExecuted: 'not-executed',
+  signature: 'signature',
+};
+
+describe('request run', () => {
+  const servers: ScriptedServer[] = [];
+  let upstream: Upstream;
+
+  afterEach(() => {
+    upstream.close();
+    for (const server of servers.splice(0)) server.stop();
+  });
+
+  async function start(...scripts: Script[]): Promise<void> {
+    upstream = Upstream.create({
+      own: {availabilityZone: 'z1', region: 'r'},
+      regionOf: () => 'r',
+      headerNames: HEADER_NAMES,
+      repeats: {
+        ratio: 1,
+        fleetAllowance: 100,
+        windowMs: 1000,
+        maxInstances: 1,
+      },
+      connectionLimitOf: () => 10,
+      floorShare: 0.7,
+      onFailure: () => {},
+      logger: createLogger({level: 'error', silent: true}),
+    });
+    for (const [index, script] of scripts.entries()) {
+      const server = await ScriptedServer.start(script);
+      servers.push(server);
+      upstream.addServer({
+        report: {
+          serverId: `s${index}`,
+          startedAtMs: 1,
+          host: '127.0.0.1',
+          port: server.port,
+          service: SERVICE,
+          // The first server is nearer, so that it is asked first.
+          availabilityZone: index === 0 ? 'z1' : 'z2',
+          softwareVersion: 'v1',
+          slots: 4,
+          state: 'ready',
+          warmupLeftMs: 0,
+        },
+        warmUntilMs: 0,
+        seenAtMs: 0,
+      });
+    }
+  }
+
+  function run(change: Partial<RunOptions> = {}): Promise<UpstreamOutcome> {
+    return upstream.run({
+      service: SERVICE,
+      request: {
+        requestId: 'r1',
+        method: 'GET',
+        target: '/a/b?c=d',
+        headers: ['Host', 'shop.example', 'Request-Id', 'r1'],
+        body: {kind: 'none'},
+      },
+      team: 'north',
+      repeatable: true,
+      maxAttempts: 2,
+      targetLatencyMs: 10_000,
+      deadlineAtMs: performance.now() + 2000,
+      abandoned: new AbortController().signal,
+      ...change,
+    });
+  }
+
+  function bodyOf(outcome: UpstreamOutcome): string {
+    if (outcome.kind !== 'answered') return outcome.kind;
+    if (outcome.answer.kind !== 'held') return 'streamed';
+    return outcome.answer.body.toString();
+  }
+
+  const good: Script = request => {
+    request.socket.write(answerTo(request, {body: 'good'}));
+  };
+
+  it('passes the request on with its server, team and remaining time', async () => {
+    await start(good);
+    expect(bodyOf(await run())).toEqual('good');
+    const {head} = servers[0]!.received[0]!;
+    expect(head.startsWith('GET /a/b?c=d HTTP/1.1')).toEqual(true);
+    expect(/host: shop\.example/i.test(head)).toEqual(true);
+    expect(/expected-server: s0/i.test(head)).toEqual(true);
+    expect(/team: north/i.test(head)).toEqual(true);
+    const deadlineMs = Number(/deadline-ms: (\d+)/i.exec(head)?.[1]);
+    expect(deadlineMs > 1500 && deadlineMs <= 2000).toEqual(true);
+  });
+
+  const faults: Record<string, Script> = {
+    'answers to another request': request =>
+      void request.socket.write(answerTo(request, {id: 'other'})),
+    'breaks its answer off': request =>
+      void request.socket.end(answerTo(request, {body: 'long'}).slice(0, -2)),
+    'answers bytes that are no answer': request =>
+      void request.socket.end('\0\0garbage\r\n\r\n'),
+    'answers with a success that is not signed': request =>
+      void request.socket.write(answerTo(request, {headers: ''})),
+    'answers with an encoded body': request =>
+      void request.socket.write(
+        answerTo(request, {
+          headers: 'Signature: good\r\nContent-Encoding: gzip\r\n',
+        }),
+      ),
+    'resets an answer without a length': request => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${request.requestId}\r\n`;
+      request.socket.write(`${head}Signature: good\r\n\r\npart`, () =>
+        setTimeout(() => request.socket.resetAndDestroy(), 20),
+      );
+    },
+    'closes without an answer': request => void request.socket.end(),
+    'reports an error': request =>
+      void request.socket.write(answerTo(request, {status: '500 Error'})),
+  };
+
+  for (const [fault, script] of Object.entries(faults)) {
+    it(`repeats at another server when one ${fault}`, async () => {
+      await start(script, good);
+      expect(bodyOf(await run())).toEqual('good');
+    });
+
+    it(`runs a one-time request once when the server ${fault}`, async () => {
+      await start(script, good);
+      const outcome = await run({repeatable: false});
+      const failed =
+        outcome.kind === 'unknown' ||
+        (outcome.kind === 'answered' && outcome.answer.status === 500);
+      expect(failed).toEqual(true);
+      expect(servers[0]!.received.length).toEqual(1);
+      expect(servers[1]!.received.length).toEqual(0);
+    });
+  }
+
+  it('passes an answer on whose length ends with its connection', async () => {
+    await start(request => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${request.requestId}\r\n`;
+      request.socket.end(`${head}Signature: good\r\n\r\nwhole`);
+    });
+    expect(bodyOf(await run())).toEqual('whole');
+  });
+
+  it('sends a one-time request on when the server did not run it', async () => {
+    const reject: Script = request =>
+      void request.socket.write(
+        answerTo(request, {
+          status: '503 Full',
+          headers: 'Not-Executed: 1\r\n',
+        }),
+      );
+    await start(reject, good);
+    expect(bodyOf(await run({repeatable: false}))).toEqual('good');
+  });
+
+  it('does not promise "not run" for a 503 without the promise', async () => {
+    await start(
+      request =>
+        void request.socket.write(
+          answerTo(request, {status: '503 Full', headers: ''}),
+        ),
+    );
+    const outcome = await run({repeatable: false});
+    expect(outcome.kind).toEqual('unknown');
+  });
+
+  it('does not take a stray answer for that of the next request', async () => {
+    await start(request => {
+      const stray = answerTo(request, {body: 'stray'});
+      request.socket.write(answerTo(request, {body: 'first'}) + stray);
+    }, good);
+    expect(bodyOf(await run())).toEqual('first');
+    const next = await run({
+      request: {
+        requestId: 'r2',
+        method: 'GET',
+        target: '/',
+        headers: ['Host', 'a', 'Request-Id', 'r2'],
+        body: {kind: 'none'},
+      },
+    });
+    expect(bodyOf(next)).toEqual('first');
+    const ids = servers[0]!.received.map(request => request.requestId);
+    expect(ids).toEqual(['r1', 'r2']);
+  });
+
+  it('tells "not run" only when no byte left', async () => {
+    await start(good);
+    servers[0]!.stop();
+    await new Promise(resolve => setTimeout(resolve, 20));
+    const outcome = await run({repeatable: false});
+    expect(outcome.kind).toEqual('not-run');
+  });
+
+  it('ends at the deadline without a promise once it was sent', async () => {
+    await start(() => {});
+    const outcome = await run({deadlineAtMs: performance.now() + 100});
+    expect(outcome.kind).toEqual('deadline');
+  });
+
+  it('closes the connection of a repeatable request whose caller left', async () => {
+    await start(() => {});
+    const abandoned = new AbortController();
+    const ended = run({abandoned: abandoned.signal});
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const closed = new Promise(resolve =>
+      servers[0]!.received[0]!.socket.once('close', resolve),
+    );
+    abandoned.abort();
+    expect((await ended).kind).toEqual('abandoned');
+    await closed;
+  });
+});
