Detect a reset that arrives together with bytes; metrics, explain, platform tests

When bytes and the reset arrive in one turn of the event loop, the runtime reports an orderly end instead of an error; the socket has no peer any more then, which a connection that was closed in order has. Ruled out: undici's handling of resets alone (a reset after a pause was detected and had a test). The new test failed before.

--- a/packages/cli/src/lib/main.ts
+++ b/packages/cli/src/lib/main.ts
@@ -1,6 +1,7 @@
 /** Command line of `fireflytrack`, the operators' tool. */
 import sade from 'sade';
 import {addCheckCommand} from './check-command.js';
+import {addExplainCommand} from './explain-command.js';
 import {addConfigCommands} from './config-commands.js';
 import {addInstanceCommands} from './instance-commands.js';
 import {addKeyCommands} from './key-commands.js';
@@ -30,6 +31,7 @@
     .option('--token', 'Administration token; FIREFLYTRACK_TOKEN if absent')
     .option('--json', 'Print JSON');
   addCheckCommand(program);
+  addExplainCommand(program);
   addConfigCommands(program);
   addKeyCommands(program);
   addInstanceCommands(program);
--- /dev/null
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -0,0 +1,89 @@
+/**
+ * Counters, gauges and histograms of a process in the text format that
+ * scrapers read. docs/OPERATIONS.md lists them.
+ */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Values that are read when the metrics are scraped. */
+export interface GaugeReaders {
+  requestsInFlight(): number;
+  policyVersion(): number;
+  policyAgeSeconds(): number;
+  servers(): number;
+  serversAvoided(): number;
+  leadsZone(): boolean;
+}
+
+// Latency objectives of the services are between 1 and 5 seconds.
+const LATENCY_BUCKETS_SECONDS = [
+  0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10,
+];
+
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'fireflytrack_requests_total',
+    help: 'Requests by outcome: "answered" or the code of the rejection.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+  private readonly repeats = new Counter({
+    name: 'fireflytrack_repeats_total',
+    help: 'Attempts beyond the first of a request.',
+    registers: [this.registry],
+  });
+  private readonly durations = new Histogram({
+    name: 'fireflytrack_request_duration_seconds',
+    help: 'Time from the head of a request to the begin of its answer.',
+    labelNames: ['outcome'] as const,
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+
+  private constructor(readers: GaugeReaders) {
+    const gauges: [string, string, () => number][] = [
+      ['requests_in_flight', 'Open requests.', readers.requestsInFlight],
+      ['policy_version', 'Policy in force.', readers.policyVersion],
+      [
+        'policy_age_seconds',
+        'Time since the policy was last confirmed.',
+        readers.policyAgeSeconds,
+      ],
+      ['servers', 'Backend servers known.', readers.servers],
+      ['servers_avoided', 'Backend servers avoided.', readers.serversAvoided],
+      [
+        'leads_zone',
+        'Whether this instance leads its zone.',
+        () => Number(readers.leadsZone()),
+      ],
+    ];
+    for (const [name, help, read] of gauges) {
+      new Gauge({
+        name: `fireflytrack_${name}`,
+        help,
+        registers: [this.registry],
+        collect() {
+          this.set(read());
+        },
+      });
+    }
+  }
+
+  static create(readers: GaugeReaders): GatewayMetrics {
+    return new GatewayMetrics(readers);
+  }
+
+  requestEnded(outcome: string, tookMs: number, attempts: number): void {
+    this.requests.inc({outcome});
+    this.durations.observe({outcome}, tookMs / 1000);
+    if (attempts > 1) this.repeats.inc(attempts - 1);
+  }
+
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- a/packages/gateway/src/lib/gateway-path.ts
+++ b/packages/gateway/src/lib/gateway-path.ts
@@ -7,6 +7,7 @@
 import type {BoundedLog} from '@fireflytrack/telemetry';
 import {endToEndHeaders} from '@fireflytrack/upstream';
 import type {
+  AttemptReport,
   HeaderNames,
   RequestBody,
   Upstream,
@@ -17,6 +18,7 @@
 import {CallerConnection} from './caller-connection.js';
 import type {OpenCall} from './caller-connection.js';
 import {readBody} from './caller-body.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PolicyHolder} from './policy-holder.js';
 import type {Rejection} from './rejection.js';
 import {sendAnswer, sendRejection} from './send-answer.js';
@@ -33,6 +35,7 @@
   keyFreshnessMs: number;
   /** Oldest confirmation with which a route or key is said to be unknown. */
   denialFreshnessMs: number;
+  metrics: GatewayMetrics;
   log: BoundedLog;
 }
 
@@ -44,13 +47,23 @@
   deadlineAtMs: number;
 }
 
+/** What the log line of a request tells. */
+interface Trace {
+  requestId: string;
+  startedAtMs: number;
+  route?: TrafficRoute | undefined;
+  team?: TeamPolicy | undefined;
+  attempts: AttemptReport[];
+}
+
 type Admission = {ok: true; value: Admitted} | {ok: false; value: Rejection};
 
 // A request waits this long for the confirmation that the policy is fresh; a
 // read of the store takes some 20 ms when nothing is wrong.
 const FRESH_WAIT_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 500;
-const ANSWER_LINE = 'request answered';
+const ANSWERED = 'request answered';
+const ANSWERED_WITH_TROUBLE = 'request answered with trouble';
 
 export class GatewayPath {
   private openCalls = 0;
@@ -80,14 +93,15 @@
     const call = connection.open(response);
     if (!call) return;
     this.openCalls += 1;
-    const startedAtMs = performance.now();
+    const trace = this.traceOf(request);
     try {
-      const outcome = await this.serve(request, call, startedAtMs);
+      const outcome = await this.serve(request, call, trace);
       if (this.stopping) connection.closeAfter(call);
-      await this.answer(request, response, outcome, startedAtMs);
+      await this.answer(call, outcome, trace);
     } catch (error) {
       const reason = String(error);
-      this.options.log.write('error', 'request failed', {reason});
+      const {requestId} = trace;
+      this.options.log.write('error', 'request failed', {requestId, reason});
       response.destroy();
     } finally {
       this.openCalls -= 1;
@@ -98,14 +112,25 @@
     }
   }
 
+  private traceOf(request: IncomingMessage): Trace {
+    const {requestId} = this.options.headerNames;
+    return {
+      requestId: String(request.headers[requestId] ?? ''),
+      startedAtMs: performance.now(),
+      attempts: [],
+    };
+  }
+
   private async serve(
     request: IncomingMessage,
     call: OpenCall,
-    startedAtMs: number,
+    trace: Trace,
   ): Promise<UpstreamOutcome | Rejection> {
-    const admission = await this.admit(request, startedAtMs);
+    const admission = await this.admit(request, trace.startedAtMs);
     if (!admission.ok) return admission.value;
     const {route, team, table, deadlineAtMs} = admission.value;
+    trace.route = route;
+    trace.team = team;
     const read = await readBody(
       request,
       table.policy.callerLimits.maxBodyBytes,
@@ -113,7 +138,7 @@
     if (read.kind === 'too-large') {
       return {code: 'body-too-large', reason: 'body over the limit'};
     }
-    if (read.kind === 'abandoned') return {kind: 'abandoned', attempts: 0};
+    if (read.kind === 'abandoned') return {kind: 'abandoned', attempts: []};
     const limited = await this.takeRate(team);
     if (limited) return limited;
     const outcome = await this.options.upstream.run({
@@ -238,41 +263,61 @@
   }
 
   private async answer(
-    request: IncomingMessage,
-    response: ServerResponse,
+    call: OpenCall,
     outcome: UpstreamOutcome | Rejection,
-    startedAtMs: number,
+    trace: Trace,
   ): Promise<void> {
-    const requestId = String(
-      request.headers[this.options.headerNames.requestId],
-    );
-    const tookMs = Math.round(performance.now() - startedAtMs);
-    const {log} = this.options;
+    const {response} = call;
     if ('code' in outcome) {
       sendRejection(response, outcome);
-      const {code, reason} = outcome;
-      log.write('info', `rejected ${code}`, {requestId, reason, tookMs});
+      this.tell(outcome.code, `rejected ${outcome.code}`, trace, {
+        reason: outcome.reason,
+        retryAfterMs: outcome.retryAfterMs,
+      });
       return;
     }
-    const {attempts} = outcome;
+    trace.attempts = outcome.attempts;
     if (outcome.kind === 'answered') {
       const {answer, serverId: server} = outcome;
       const whole = await sendAnswer(response, answer);
       const {status} = answer;
-      const fields = {requestId, status, server, attempts, tookMs, whole};
-      const plain = attempts === 1 && status < 500 && whole;
-      log.write('info', plain ? ANSWER_LINE : `${ANSWER_LINE} late`, fields);
+      const plain = trace.attempts.length === 1 && status < 500 && whole;
+      const kind = plain ? ANSWERED : ANSWERED_WITH_TROUBLE;
+      this.tell('answered', kind, trace, {status, server, whole});
       return;
     }
     if (outcome.kind === 'abandoned') {
-      log.write('info', 'caller left', {requestId, attempts, tookMs});
+      this.tell('caller-left', 'caller left', trace, {});
       return;
     }
     const rejection = rejectionOf(outcome);
     sendRejection(response, rejection);
     const {code, reason} = rejection;
-    const fields = {requestId, reason, attempts, tookMs};
-    log.write('info', `rejected ${code}`, fields);
+    this.tell(code, `rejected ${code}`, trace, {reason});
+  }
+
+  /** One log line and the metrics of a request that ended. */
+  private tell(
+    outcome: string,
+    kind: string,
+    trace: Trace,
+    fields: Record<string, unknown>,
+  ): void {
+    const {log, metrics, policies} = this.options;
+    const {requestId, startedAtMs, route, team, attempts} = trace;
+    const tookMs = Math.round(performance.now() - startedAtMs);
+    metrics.requestEnded(outcome, tookMs, attempts.length);
+    log.write('info', kind, {
+      requestId,
+      route: route?.name,
+      team: team?.name,
+      ...fields,
+      tookMs,
+      tried: attempts.map(attempt => attempt.server),
+      attempts,
+      policyVersion: policies.current()?.version,
+      policyAgeMs: Math.round(policies.lease.ageMs()),
+    });
   }
 }
 
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -18,7 +18,8 @@
 import {GatewayPath} from './gateway-path.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {PolicyHolder, RELAY_AGE_LIMIT_MS} from './policy-holder.js';
-import {ReadyServer} from './ready-server.js';
+import {GatewayMetrics} from './gateway-metrics.js';
+import {StatusServer} from './status-server.js';
 
 /** What the process follows outside itself. */
 export interface GatewaySources {
@@ -47,6 +48,7 @@
 // Idle connections of callers are closed this long before that.
 const IDLE_CLOSE_MS = 800;
 const STOP_CHECK_MS = 50;
+const MS_PER_SECOND = 1000;
 
 export class GatewayProcess {
   readonly dump = StateDump.create();
@@ -62,7 +64,8 @@
   private readonly path: GatewayPath;
   private readonly broker: ServiceBroker;
   private readonly callers: CallerServer;
-  private readonly ready: ReadyServer;
+  private readonly ready: StatusServer;
+  private readonly metricsServer: StatusServer | undefined;
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -166,7 +169,16 @@
         this.upstream.suspect(serverId, service),
       logger,
     });
+    const metrics = GatewayMetrics.create({
+      requestsInFlight: () => this.path.requestsInFlight,
+      policyVersion: () => this.policies.current()?.version ?? 0,
+      policyAgeSeconds: () => this.policies.lease.ageMs() / MS_PER_SECOND,
+      servers: () => this.catalog.all().length,
+      serversAvoided: () => this.upstream.avoidedServers,
+      leadsZone: () => this.zone.isLeader,
+    });
     this.path = GatewayPath.create({
+      metrics,
       policies: this.policies,
       upstream: this.upstream,
       limiter: this.zone,
@@ -182,11 +194,11 @@
       ...entry.listen,
       handle: (request, response) => this.path.handle(request, response),
     });
-    this.ready = ReadyServer.create({
+    this.ready = StatusServer.create({
       ...entry.ready_listen,
-      path: entry.ready_path,
-      isReady: () => this.isReady(),
+      pages: {[entry.ready_path]: () => ({status: this.isReady() ? 200 : 503})},
     });
+    this.metricsServer = createMetricsServer(settings, metrics);
     this.dump.register('servers', () => this.upstream.state());
     this.dump.register('zone', () => this.zone.state());
     this.dump.register('policy', () => ({
@@ -208,6 +220,7 @@
     this.servers.start();
     this.zone.start();
     await this.ready.start();
+    await this.metricsServer?.start();
     await this.broker.start();
     const startMs = Math.round(performance.now());
     this.logger.info('started', {startMs});
@@ -248,6 +261,7 @@
     this.log.flush();
     this.logger.info('stopped', {cut: this.path.requestsInFlight});
     this.ready.stop();
+    this.metricsServer?.stop();
     this.catalog.stop();
     await Promise.all([
       this.policies.stop(),
@@ -270,6 +284,20 @@
   };
 }
 
+function createMetricsServer(
+  settings: GatewaySettings,
+  metrics: GatewayMetrics,
+): StatusServer | undefined {
+  const {listen, path} = settings.metrics;
+  if (listen === undefined) return undefined;
+  const page = async () => ({
+    status: 200,
+    contentType: metrics.contentType,
+    text: await metrics.text(),
+  });
+  return StatusServer.create({...listen, pages: {[path]: page}});
+}
+
 function createBroker(nodeID: string): ServiceBroker {
   return new moleculer.ServiceBroker({
     nodeID,
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -90,6 +90,13 @@
     rate_overrun: z.coerce.number().nonnegative(),
     rate_slack: z.coerce.number().nonnegative(),
   }),
+  metrics: z
+    .strictObject({
+      /** Metrics are served where this is set. */
+      listen: address.optional(),
+      path: z.string().startsWith('/').default('/metrics'),
+    })
+    .prefault({}),
   log: z
     .strictObject({
       level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,7 +1,11 @@
 /** Choice of a backend server, connections, attempts and repeats. */
 export type {HeaderNames} from './lib/answer-rules.js';
 export {endToEndHeaders} from './lib/connection-headers.js';
-export type {RunOptions, UpstreamOutcome} from './lib/request-run.js';
+export type {
+  AttemptReport,
+  RunOptions,
+  UpstreamOutcome,
+} from './lib/request-run.js';
 export type {Location} from './lib/server-picker.js';
 export {Upstream} from './lib/upstream.js';
 export type {UpstreamOptions} from './lib/upstream.js';
--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -118,7 +118,7 @@
 
   onResponseEnd(): void {
     if (this.isCutShort()) {
-      this.fail('connection reset within an answer without a length');
+      this.fail('the connection ended within the answer');
       return;
     }
     const reusable = this.isReusable();
@@ -248,8 +248,12 @@
     );
   }
 
+  /** Whether the connection ended before the answer did. */
   private isCutShort(): boolean {
-    return !this.isFramed() && this.options.connection.wasReset;
+    if (this.headers['content-length'] !== undefined) return false;
+    const {wasReset, hasEnded} = this.options.connection;
+    const chunked = this.headers['transfer-encoding'] !== undefined;
+    return wasReset || (chunked && hasEnded);
   }
 
   private isReusable(): boolean {
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -27,15 +27,24 @@
   abandoned: AbortSignal;
 }
 
-export type UpstreamOutcome =
-  | {kind: 'answered'; answer: Answer; serverId: string; attempts: number}
+/** One attempt, as logs tell it. */
+export interface AttemptReport {
+  server: string;
+  result: AttemptResult['kind'] | 'given-up';
+  reason?: string;
+  tookMs: number;
+}
+
+export type UpstreamOutcome = {attempts: AttemptReport[]} & (
+  | {kind: 'answered'; answer: Answer; serverId: string}
   /** The request has not run and never will. */
-  | {kind: 'not-run'; reason: string; attempts: number}
+  | {kind: 'not-run'; reason: string}
   /** The request may have run; there is no answer that could be passed on. */
-  | {kind: 'unknown'; reason: string; attempts: number}
+  | {kind: 'unknown'; reason: string}
   /** The deadline passed after the request was sent. */
-  | {kind: 'deadline'; attempts: number}
-  | {kind: 'abandoned'; attempts: number};
+  | {kind: 'deadline'}
+  | {kind: 'abandoned'}
+);
 
 export interface RunShared {
   state: ServiceState;
@@ -79,6 +88,7 @@
   private readonly running = new Set<RunningAttempt>();
   private readonly tried = new Set<ServerRecord>();
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly reports: AttemptReport[] = [];
   private sentAttempts = 0;
   private unsentAttempts = 0;
   private mayHaveRun = false;
@@ -113,10 +123,9 @@
   }
 
   private handle(event: Event): UpstreamOutcome | undefined {
-    const attempts = this.sentAttempts;
     switch (event.kind) {
       case 'abandoned':
-        return {kind: 'abandoned', attempts};
+        return {kind: 'abandoned', attempts: this.allReports()};
       case 'deadline':
         return this.conclude('deadline passed');
       case 'slow':
@@ -132,6 +141,7 @@
     const {record} = running;
     const {state} = this.shared;
     this.running.delete(running);
+    this.reports.push(reportOf(running, result));
     switch (result.kind) {
       case 'answered':
         return this.answered(running, result.answer);
@@ -168,7 +178,7 @@
       const latencyMs = performance.now() - startedAtMs;
       state.answered(record, latencyMs, this.options.targetLatencyMs);
       record.succeeded();
-      const attempts = this.sentAttempts;
+      const attempts = this.allReports();
       return {kind: 'answered', answer, serverId, attempts};
     }
     this.mayHaveRun = true;
@@ -184,9 +194,9 @@
   }
 
   private conclude(deadline?: string): UpstreamOutcome {
-    const attempts = this.sentAttempts;
+    const attempts = this.allReports();
     if (this.fallback) return {kind: 'answered', ...this.fallback, attempts};
-    const wasSent = [...this.running].some(({attempt}) => attempt.wasSent);
+    const {wasSent} = this;
     const reason = deadline ?? this.lastReason;
     if (deadline !== undefined && (wasSent || this.mayHaveRun)) {
       for (const {record} of this.running) {
@@ -198,6 +208,16 @@
     return {kind: 'not-run', reason, attempts};
   }
 
+  private allReports(): AttemptReport[] {
+    const open = [...this.running].map(running => reportOf(running, undefined));
+    return [...this.reports, ...open];
+  }
+
+  /** Whether a server may have seen one of the attempts under way. */
+  private get wasSent(): boolean {
+    return [...this.running].some(({attempt}) => attempt.wasSent);
+  }
+
   private startRepeat(): void {
     const {maxAttempts, request} = this.options;
     if (this.sentAttempts >= maxAttempts) return;
@@ -284,10 +304,29 @@
       const waitMs = Math.max(0, deadlineAtMs - performance.now());
       const timer = setTimeout(() => resolve({kind: 'deadline'}), waitMs);
       this.timers.push(timer);
-      if (abandoned.aborted) resolve({kind: 'abandoned'});
-      abandoned.addEventListener('abort', () => resolve({kind: 'abandoned'}), {
-        once: true,
-      });
+      const leave = () => {
+        // A one-time request that was sent runs to its end: breaking it off
+        // would leave its outcome unknown.
+        if (this.options.repeatable || !this.wasSent) {
+          resolve({kind: 'abandoned'});
+        }
+      };
+      if (abandoned.aborted) leave();
+      abandoned.addEventListener('abort', leave, {once: true});
     });
   }
 }
+
+function reportOf(
+  running: RunningAttempt,
+  result: AttemptResult | undefined,
+): AttemptReport {
+  const server = running.record.serverId;
+  const tookMs = Math.round(performance.now() - running.startedAtMs);
+  if (!result) return {server, result: 'given-up', tookMs};
+  const reason =
+    result.kind === 'answered'
+      ? `status ${result.answer.status}`
+      : result.reason;
+  return {server, result: result.kind, reason, tookMs};
+}
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -2,7 +2,8 @@
  * One connection to a backend server, by an undici client of its own.
  *
  * The socket is opened here, so that its fate is known: undici takes an answer
- * without a length as complete even when the connection was reset.
+ * that announced the end of its connection as complete when the connection is
+ * reset, and a chunked one also when it ends before the last chunk.
  */
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
@@ -22,6 +23,8 @@
   /** Monotonic time at which it became idle; for reuse rules. */
   idleSinceMs = 0;
   wasReset = false;
+  /** The server closed its side. */
+  hasEnded = false;
   private socket: Socket | undefined;
 
   private constructor(host: string, port: number, onClosed: () => void) {
@@ -83,6 +86,12 @@
       this.wasReset = true;
       settle(error);
     });
+    socket.once('end', () => {
+      this.hasEnded = true;
+      // A reset that arrives together with bytes is reported as an orderly end;
+      // only a socket that was reset has no peer any more.
+      if (socket.remoteAddress === undefined) this.wasReset = true;
+    });
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
 }
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -81,6 +81,15 @@
     return (this.services.get(service)?.records.length ?? 0) > 0;
   }
 
+  get avoidedServers(): number {
+    const nowMs = performance.now();
+    let avoided = 0;
+    for (const record of this.records.values()) {
+      if (record.isAvoided(nowMs)) avoided += 1;
+    }
+    return avoided;
+  }
+
   close(): void {
     for (const record of this.records.values()) record.pool.close();
   }
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -20,6 +20,13 @@
   signature: 'signature',
 };
 
+function chunkedHead(requestId: string): string {
+  return (
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSignature: good\r\n` +
+    'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'
+  );
+}
+
 describe('request run', () => {
   const servers: ScriptedServer[] = [];
   let upstream: Upstream;
@@ -131,6 +138,28 @@
         setTimeout(() => request.socket.resetAndDestroy(), 20),
       );
     },
+    // The event loop then learns of bytes and reset in one turn, and reports
+    // an orderly end.
+    'resets an answer without a length together with its bytes': request => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${request.requestId}\r\n`;
+      request.socket.write(`${head}Signature: good\r\n\r\npart`);
+      request.socket.resetAndDestroy();
+    },
+    'ends a chunked answer before its last chunk': request =>
+      void request.socket.end(chunkedHead(request.requestId)),
+    'resets a chunked answer before its last chunk': request => {
+      request.socket.write(chunkedHead(request.requestId), () =>
+        setTimeout(() => request.socket.resetAndDestroy(), 20),
+      );
+    },
+    'resets an answer before its whole length': request => {
+      const whole = answerTo(request, {
+        headers: 'Signature: good\r\nConnection: close\r\n',
+      });
+      request.socket.write(whole.slice(0, -2), () =>
+        setTimeout(() => request.socket.resetAndDestroy(), 20),
+      );
+    },
     'closes without an answer': request => void request.socket.end(),
     'reports an error': request =>
       void request.socket.write(answerTo(request, {status: '500 Error'})),
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -81,6 +81,10 @@
     this.limiter?.giveBack(team);
   }
 
+  get isLeader(): boolean {
+    return this.election?.isLeader ?? false;
+  }
+
   /** Tells the other instances that a backend server failed. */
   reportFailure(failure: ServerFailure): void {
     this.failures?.report(failure);
