Close idle callers and refuse late requests during a planned stop

Idle connections are now found by their open requests and closed once the balancer has noticed; later requests are refused as not run. Ruled out: the bound itself (6 s less 0.4 s), since requests work up to several seconds. Retry-After is rounded up and never 0.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,12 +1,15 @@
 /** The HTTP server towards callers, by moleculer-web. */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {ServiceBroker} from 'moleculer';
 import ApiGateway from 'moleculer-web';
+import type {CallerConnections} from './caller-connection.js';
 
 export interface CallerServerOptions {
   host: string;
   port: number;
+  connections: CallerConnections;
   handle(request: IncomingMessage, response: ServerResponse): Promise<void>;
 }
 
@@ -49,6 +52,9 @@
         // that changes while traffic flows, which aliases cannot express.
         createServer(this: GatewayService) {
           this.server = createServer(SERVER_OPTIONS, options.handle);
+          this.server.on('connection', socket => {
+            options.connections.of(socket);
+          });
         },
       },
     });
@@ -60,13 +66,10 @@
     this.server.keepAliveTimeout = timeouts.idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  get connections(): Promise<number> {
-    return new Promise(resolve =>
-      this.server.getConnections((error, count) => resolve(error ? 0 : count)),
-    );
-  }
-
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /** Takes no new connections; the open ones stay. */
+  stopAccepting(): void {
+    // The callback-less form of net.Server: that of http.Server would close
+    // idle connections, which callers may be using at this moment.
+    NetServer.prototype.close.call(this.server);
   }
 }
--- a/packages/gateway/src/lib/gateway-path.ts
+++ b/packages/gateway/src/lib/gateway-path.ts
@@ -15,8 +15,7 @@
   UpstreamRequest,
 } from '@fireflytrack/upstream';
 import type {RateLimiter} from '@fireflytrack/zone';
-import {CallerConnection} from './caller-connection.js';
-import type {OpenCall} from './caller-connection.js';
+import type {CallerConnections, OpenCall} from './caller-connection.js';
 import {readBody} from './caller-body.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PolicyHolder} from './policy-holder.js';
@@ -24,6 +23,7 @@
 import {sendAnswer, sendRejection} from './send-answer.js';
 
 export interface GatewayPathOptions {
+  connections: CallerConnections;
   policies: PolicyHolder;
   upstream: Upstream;
   limiter: RateLimiter;
@@ -62,12 +62,15 @@
 // read of the store takes some 20 ms when nothing is wrong.
 const FRESH_WAIT_MS = 400;
 const DEFAULT_RETRY_AFTER_MS = 500;
+// The caller comes back on a new connection, which another instance takes.
+const STOPPING_RETRY_MS = 50;
 const ANSWERED = 'request answered';
 const ANSWERED_WITH_TROUBLE = 'request answered with trouble';
 
 export class GatewayPath {
   private openCalls = 0;
   private stopping = false;
+  private refusing = false;
 
   private constructor(private readonly options: GatewayPathOptions) {}
 
@@ -84,12 +87,17 @@
     this.stopping = true;
   }
 
+  /** New requests could not be served to their end any more. */
+  refuseNew(): void {
+    this.refusing = true;
+  }
+
   /** Serves one request; never rejects. */
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const connection = CallerConnection.of(request.socket);
+    const connection = this.options.connections.of(request.socket);
     const call = connection.open(response);
     if (!call) return;
     this.openCalls += 1;
@@ -126,6 +134,10 @@
     call: OpenCall,
     trace: Trace,
   ): Promise<UpstreamOutcome | Rejection> {
+    if (this.refusing) {
+      const reason = 'the instance is about to stop';
+      return {code: 'not-run', reason, retryAfterMs: STOPPING_RETRY_MS};
+    }
     const admission = await this.admit(request, trace.startedAtMs);
     if (!admission.ok) return admission.value;
     const {route, team, table, deadlineAtMs} = admission.value;
@@ -238,6 +250,10 @@
     const admitted = 'then' in decision ? await decision : decision;
     if (admitted.admitted) return undefined;
     const {retryAfterMs} = admitted;
+    if (admitted.reason === 'no-leader') {
+      const reason = 'nobody who grants the rate of the team is reached';
+      return {code: 'not-run', reason, retryAfterMs};
+    }
     const reason = `team ${team.name} is over its rate`;
     return {code: 'over-rate', reason, retryAfterMs};
   }
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -13,6 +13,7 @@
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
+import {CallerConnections} from './caller-connection.js';
 import {CallerServer} from './caller-server.js';
 import {FreshnessLease, readClocks} from './freshness-lease.js';
 import {GatewayPath} from './gateway-path.js';
@@ -41,12 +42,15 @@
 // "unknown" needs a new confirmation.
 const DENIAL_FRESHNESS_SHARE = 0.9;
 // The balancer stops sending connections after it missed two answers, one a
-// second.
+// second. From then on idle connections are closed, so that callers move.
 const BALANCER_NOTICE_MS = 2500;
+// A connection counts as idle this long after its begin or its last answer.
+const IDLE_MS = 300;
+// Requests that come later than this part of the stop's bound could not run to
+// their end: the slowest ones work for several seconds.
+const REFUSE_SHARE = 0.6;
 // Kept of the stop's bound for closing down after the last request.
-const STOP_MARGIN_MS = 600;
-// Idle connections of callers are closed this long before that.
-const IDLE_CLOSE_MS = 800;
+const STOP_MARGIN_MS = 400;
 const STOP_CHECK_MS = 50;
 const MS_PER_SECOND = 1000;
 
@@ -63,6 +67,7 @@
   private readonly zone: ZoneFleet;
   private readonly path: GatewayPath;
   private readonly broker: ServiceBroker;
+  private readonly connections = CallerConnections.create();
   private readonly callers: CallerServer;
   private readonly ready: StatusServer;
   private readonly metricsServer: StatusServer | undefined;
@@ -178,6 +183,7 @@
       leadsZone: () => this.zone.isLeader,
     });
     this.path = GatewayPath.create({
+      connections: this.connections,
       metrics,
       policies: this.policies,
       upstream: this.upstream,
@@ -192,6 +198,7 @@
     this.broker = createBroker(instance.id);
     this.callers = CallerServer.create(this.broker, {
       ...entry.listen,
+      connections: this.connections,
       handle: (request, response) => this.path.handle(request, response),
     });
     this.ready = StatusServer.create({
@@ -254,9 +261,12 @@
       const elapsedMs = performance.now() - startedAtMs;
       if (elapsedMs >= boundMs) break;
       if (elapsedMs < BALANCER_NOTICE_MS) continue;
-      if (elapsedMs >= boundMs - IDLE_CLOSE_MS) this.callers.closeIdle();
-      if (this.path.requestsInFlight > 0) continue;
-      if ((await this.callers.connections) === 0) break;
+      this.connections.closeIdle(IDLE_MS);
+      if (elapsedMs >= boundMs * REFUSE_SHARE) {
+        this.path.refuseNew();
+        this.callers.stopAccepting();
+      }
+      if (this.connections.size === 0) break;
     }
     this.log.flush();
     this.logger.info('stopped', {cut: this.path.requestsInFlight});
--- a/packages/gateway/src/lib/send-answer.ts
+++ b/packages/gateway/src/lib/send-answer.ts
@@ -5,7 +5,11 @@
 import {REJECTION_STATUS} from './rejection.js';
 import type {Rejection} from './rejection.js';
 
-const MS_PER_SECOND = 1000;
+// Below this, a caller would be back before anything could have changed.
+const MIN_RETRY_AFTER_MS = 50;
+// Times are told in hundredths of a second.
+const RETRY_STEP_MS = 10;
+const STEPS_PER_SECOND = 100;
 
 /** Writes the answer of a server unchanged; false if it broke off. */
 export async function sendAnswer(
@@ -37,11 +41,17 @@
   const body = Buffer.from(JSON.stringify({error: code, reason}) + '\n');
   const headers = ['content-type', 'application/json'];
   if (retryAfterMs !== undefined) {
-    headers.push('retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(2));
+    headers.push('retry-after', retryAfterSeconds(retryAfterMs));
   }
   sendHeld(response, REJECTION_STATUS[code], headers, body);
 }
 
+/** Rounded up: a caller that comes a moment early is refused again. */
+function retryAfterSeconds(retryAfterMs: number): string {
+  const waitMs = Math.max(MIN_RETRY_AFTER_MS, retryAfterMs);
+  return (Math.ceil(waitMs / RETRY_STEP_MS) / STEPS_PER_SECOND).toFixed(2);
+}
+
 function sendHeld(
   response: ServerResponse,
   status: number,
--- a/packages/zone/src/lib/rate-limiter.ts
+++ b/packages/zone/src/lib/rate-limiter.ts
@@ -3,8 +3,15 @@
 
 export type RateDecision =
   | {admitted: true}
-  /** `retryAfterMs` is when the team has room again. */
-  | {admitted: false; retryAfterMs: number};
+  /**
+   * `over-rate`: the team has room again after `retryAfterMs`. `no-leader`:
+   * nobody who could grant the rate is reached from here.
+   */
+  | {
+      admitted: false;
+      reason: 'over-rate' | 'no-leader';
+      retryAfterMs: number;
+    };
 
 export interface RateLimiter {
   /** Takes one request of the team's rate. */
--- a/packages/zone/src/lib/zone-buckets.ts
+++ b/packages/zone/src/lib/zone-buckets.ts
@@ -1,9 +1,9 @@
 /**
  * The part of each team's rate that one availability zone may use.
  *
- * Each leading instance holds one bucket per team. Buckets are empty when the
- * lead begins: what a leader before it granted a moment ago is not known, and
- * the burst must not be granted twice.
+ * Each leading instance holds one bucket per team. Buckets are nearly empty
+ * when the lead begins: what a leader before it granted a moment ago is not
+ * known, and the burst must not be granted twice.
  */
 import type {TeamPolicy} from '@fireflytrack/policy';
 
@@ -22,9 +22,11 @@
 }
 
 const MS_PER_SECOND = 1000;
-// Part of the room above the rate that is used. The rest covers leaders that
-// act while they are being replaced.
+// Part of the room above the rate that a full bucket holds, and part of it that
+// a new leader begins with. The rest covers leaders that act while they are
+// being replaced.
 const USED_SHARE = 0.8;
+const FIRST_SHARE = 0.12;
 
 export class ZoneBuckets {
   private readonly buckets = new Map<string, Bucket>();
@@ -75,7 +77,7 @@
     const nowMs = performance.now();
     let bucket = this.buckets.get(team.name);
     if (!bucket) {
-      bucket = {tokens: 0, filledAtMs: this.leadsSinceMs};
+      bucket = {tokens: this.firstTokens(team), filledAtMs: this.leadsSinceMs};
       this.buckets.set(team.name, bucket);
     }
     const gained = (nowMs - bucket.filledAtMs) * this.ratePerMs(team);
@@ -89,10 +91,18 @@
   }
 
   private depth(team: TeamPolicy): number {
+    return Math.max(1, (this.room(team) * USED_SHARE) / this.zoneCount());
+  }
+
+  private firstTokens(team: TeamPolicy): number {
+    return (this.room(team) * FIRST_SHARE) / this.zoneCount();
+  }
+
+  /** Requests above the rate that the fleet may admit in one window. */
+  private room(team: TeamPolicy): number {
     const {windowMs, overrun, slack} = this.bounds;
     const perWindow = (team.ratePerSecond * windowMs) / MS_PER_SECOND;
     const spare = (perWindow + team.burstTokens) * overrun + slack;
-    const room = (team.burstTokens + spare) * USED_SHARE;
-    return Math.max(1, room / this.zoneCount());
+    return team.burstTokens + spare;
   }
 }
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -27,15 +27,14 @@
 const LEADER_CHECK_MS = 2000;
 // A member looks whether its connection to the leader stands.
 const MEMBER_CHECK_MS = 250;
-// A connection within a zone takes some milliseconds; a leader that has just
-// started may take a second to listen.
-const REACH_WAIT_MS = 900;
+// A connection within a zone takes some milliseconds, also to a busy leader.
+const REACH_WAIT_MS = 450;
 const REACH_CHECK_MS = 30;
 const CONNECT_CHECK_MS = 10;
 const CONFIRM_TIMEOUT_MS = 400;
 const STORE_RETRY_MS = 500;
 // Spreads the members that lost their leader at the same moment.
-const CANDIDATE_SPREAD_MS = 250;
+const CANDIDATE_SPREAD_MS = 150;
 // Rows of all zones and the secret fit.
 const MAX_ROWS = 200;
 
@@ -69,6 +68,15 @@
     return this.isConnected(leader) ? leader : undefined;
   }
 
+  /** Waits until the zone has a leader that is reached from here. */
+  async waitForLeader(waitMs: number): Promise<void> {
+    const giveUpAtMs = performance.now() + waitMs;
+    while (!this.isLeader && !this.reachableLeader) {
+      if (performance.now() >= giveUpAtMs) return;
+      await sleep(CONNECT_CHECK_MS);
+    }
+  }
+
   /** Leaders of the other zones, those of the own region first. */
   get otherLeaders(): Leader[] {
     const {self} = this.options;
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -18,7 +18,7 @@
 import type {RateDecision, RateLimiter} from './rate-limiter.js';
 import type {RateBounds} from './zone-buckets.js';
 import {ZoneElection} from './zone-election.js';
-import {ZoneRateLimiter} from './zone-rate-limiter.js';
+import {ZoneRateLimiter, noLeader} from './zone-rate-limiter.js';
 
 export interface ZoneFleetOptions {
   self: Leader;
@@ -39,9 +39,8 @@
 }
 
 // Spreads the first reads and writes of instances that start together.
-const START_SPREAD_MS = 300;
+const START_SPREAD_MS = 150;
 const STORE_RETRY_MS = 300;
-const NOT_JOINED_RETRY_MS = 300;
 const MAX_ROWS = 200;
 
 export class ZoneFleet implements RateLimiter {
@@ -74,7 +73,7 @@
   admit(team: TeamPolicy): RateDecision | Promise<RateDecision> {
     if (this.limiter) return this.limiter.admit(team);
     if (team.ratePerSecond === 0) return {admitted: true};
-    return {admitted: false, retryAfterMs: NOT_JOINED_RETRY_MS};
+    return noLeader();
   }
 
   giveBack(team: TeamPolicy): void {
--- a/packages/zone/src/lib/zone-rate-limiter.ts
+++ b/packages/zone/src/lib/zone-rate-limiter.ts
@@ -39,16 +39,29 @@
 const LEND_TOKENS = 4;
 // After no other zone had anything, none is asked for this long.
 const EMPTY_PAUSE_MS = 1000;
+// A request may wait this long for a leader that is being elected: an eighth
+// of the shortest latency objective.
+const LEADER_WAIT_MS = 120;
 const NO_LEADER_RETRY_MS = 300;
 
 const takeSchema = z.object({team: z.string()});
 const takenSchema = z.discriminatedUnion('admitted', [
   z.object({admitted: z.literal(true)}),
-  z.object({admitted: z.literal(false), retryAfterMs: z.number()}),
+  z.object({
+    admitted: z.literal(false),
+    reason: z.enum(['over-rate', 'no-leader']),
+    retryAfterMs: z.number(),
+  }),
 ]);
 const lendSchema = z.object({team: z.string(), tokens: z.number()});
 const lentSchema = z.object({tokens: z.number().nonnegative()});
 
+/** The refusal while no leader is reached. */
+export function noLeader(): RateDecision {
+  const retryAfterMs = NO_LEADER_RETRY_MS;
+  return {admitted: false, reason: 'no-leader', retryAfterMs};
+}
+
 export class ZoneRateLimiter implements RateLimiter {
   private readonly buckets: ZoneBuckets;
   private readonly borrowing = new Map<string, Promise<void>>();
@@ -74,6 +87,7 @@
   async admit(team: TeamPolicy): Promise<RateDecision> {
     if (team.ratePerSecond === 0) return {admitted: true};
     const {election} = this.options;
+    await election.waitForLeader(LEADER_WAIT_MS);
     if (election.isLeader) return this.takeHere(team);
     const near = election.reachableLeader;
     const decision = near && (await this.takeAt(near, team));
@@ -82,7 +96,7 @@
       const far = await this.takeAt(leader, team);
       if (far) return far;
     }
-    return {admitted: false, retryAfterMs: NO_LEADER_RETRY_MS};
+    return noLeader();
   }
 
   giveBack(team: TeamPolicy): void {
@@ -118,7 +132,8 @@
     if (this.buckets.tryTake(team)) return {admitted: true};
     await this.borrow(team);
     if (this.buckets.tryTake(team)) return {admitted: true};
-    return {admitted: false, retryAfterMs: this.buckets.waitMs(team)};
+    const retryAfterMs = this.buckets.waitMs(team);
+    return {admitted: false, reason: 'over-rate', retryAfterMs};
   }
 
   /** Asks the leaders of other zones in turn, once at a time for each team. */
