Weigh distance higher in the choice of a server, and estimates slower

Cause: one slow answer raised a server's estimate enough to send the next requests to another zone or region, which is paid by volume.

--- a/packages/upstream/src/lib/latency-estimate.ts
+++ b/packages/upstream/src/lib/latency-estimate.ts
@@ -6,7 +6,7 @@
 // Time constant of the return to the baseline. Slow phases of servers last
 // several seconds; a shorter memory would send work back during one.
 const MEMORY_MS = 8000;
-const SAMPLE_WEIGHT = 0.25;
+const SAMPLE_WEIGHT = 0.15;
 
 export class LatencyEstimate {
   private valueMs: number | undefined;
--- a/packages/upstream/src/lib/server-picker.ts
+++ b/packages/upstream/src/lib/server-picker.ts
@@ -19,8 +19,8 @@
 }
 
 // Latency that a shorter way is worth, as parts of the latency objective.
-const OTHER_ZONE_PENALTY = 0.25;
-const OTHER_REGION_PENALTY = 0.5;
+const OTHER_ZONE_PENALTY = 0.5;
+const OTHER_REGION_PENALTY = 1;
 // An avoided server is chosen only when there is no other.
 const AVOIDED_PENALTY = 20;
 const TRIED_PENALTY = 10;
