Read policies and settings by the command line; reload settings

fireflytrack check covers the policy text of gateways (hosts, prefixes, splits, attempts, ranks, open routes) and their settings file.

--- a/packages/cli/src/lib/text-file.ts
+++ b/packages/cli/src/lib/text-file.ts
@@ -3,6 +3,8 @@
   formatTextError,
   parseConfigurationText,
 } from '@fireflytrack/configuration';
+import {parseGatewaySettings} from '@fireflytrack/gateway/settings';
+import {parsePolicyText} from '@fireflytrack/policy';
 import {readFileSync, statSync} from 'node:fs';
 import {CommandFailure} from './command-line.js';
 import {EXIT_CODES} from './exit-codes.js';
@@ -19,6 +21,22 @@
   return text;
 }
 
+// The first section that only one kind of text has.
+const POLICY_SECTION = /^\s*\[policy\]/m;
+const SETTINGS_SECTION = /^\s*\[headers\]/m;
+
+/** Checks a text of any kind by the sections that it has. */
+export function checkFile(file: string): void {
+  const text = readFile(file);
+  const parsed = POLICY_SECTION.test(text)
+    ? parsePolicyText(text, file)
+    : SETTINGS_SECTION.test(text)
+      ? parseGatewaySettings(text, file)
+      : parseConfigurationText(text, file);
+  if (parsed.ok) return;
+  throw new CommandFailure(formatTextError(parsed.val), EXIT_CODES.invalid);
+}
+
 function readFile(file: string): string {
   try {
     // Checked before opening, because opening a named pipe blocks.
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -233,6 +233,12 @@
     this.logger.info('started', {startMs});
   }
 
+  /** Puts into force what can change while the process runs. */
+  applySettings(settings: GatewaySettings): void {
+    this.logger.level = settings.log.level;
+    this.log.linesPerSecond = settings.log.lines_per_second;
+  }
+
   /** Stops without cutting a request, within the configured bound. */
   stop(): Promise<void> {
     this.stopping ??= this.runStop();
--- /dev/null
+++ b/packages/gateway/src/lib/settings-reload.ts
@@ -0,0 +1,94 @@
+/**
+ * Reads the settings file again when it is signalled or has changed without a
+ * signal. A broken file keeps the old settings; what cannot change while the
+ * process runs is named in the log.
+ */
+import type {Logger} from '@fireflytrack/telemetry';
+import {readFile} from 'node:fs/promises';
+import {parseGatewaySettings} from './gateway-settings.js';
+import type {GatewaySettings} from './gateway-settings.js';
+
+export interface SettingsReloadOptions {
+  file: string;
+  /** The text that the process started with. */
+  text: string;
+  settings: GatewaySettings;
+  /** Puts the settings that can change into force. */
+  apply(settings: GatewaySettings): void;
+  logger: Logger;
+}
+
+// The file is small; reading it this often costs under a millisecond of
+// processor time a minute.
+const CHECK_MS = 5000;
+/** Sections that can change while the process runs. */
+const CHANGEABLE: ReadonlySet<string> = new Set(['log']);
+
+export class SettingsReload {
+  private text: string;
+  private settings: GatewaySettings;
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: SettingsReloadOptions) {
+    this.text = options.text;
+    this.settings = options.settings;
+  }
+
+  static create(options: SettingsReloadOptions): SettingsReload {
+    return new SettingsReload(options);
+  }
+
+  start(): void {
+    this.timer = setInterval(() => void this.check(false), CHECK_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Reads the file; `signalled` also logs that nothing changed. */
+  async check(signalled: boolean): Promise<void> {
+    const {file, logger, apply} = this.options;
+    let text: string;
+    try {
+      text = await readFile(file, 'utf8');
+    } catch (error) {
+      logger.warn('settings not read', {file, reason: String(error)});
+      return;
+    }
+    if (text === this.text) {
+      if (signalled) logger.info('settings unchanged', {file});
+      return;
+    }
+    this.text = text;
+    const parsed = parseGatewaySettings(text, file);
+    if (parsed.err) {
+      const {section, key, expected} = parsed.val;
+      logger.warn('settings not taken', {file, section, key, expected});
+      return;
+    }
+    const changed = changedSections(this.settings, parsed.val);
+    this.settings = parsed.val;
+    apply(parsed.val);
+    logger.info('settings reloaded', {
+      file,
+      signalled,
+      changed,
+      atNextStart: changed.filter(section => !CHANGEABLE.has(section)),
+    });
+  }
+}
+
+function changedSections(
+  before: GatewaySettings,
+  after: GatewaySettings,
+): string[] {
+  const names = Object.keys(after) as (keyof GatewaySettings)[];
+  return names.filter(name => textOf(before[name]) !== textOf(after[name]));
+}
+
+function textOf(section: unknown): string {
+  return JSON.stringify(section, (_key, value: unknown) =>
+    value instanceof Map ? [...value] : value,
+  );
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 /** Routes, teams and limits that operators set. */
 export {keyDigestOf} from './lib/key-digest.js';
+export {parsePolicyText} from './lib/policy-text.js';
 export {PolicyTable} from './lib/policy-table.js';
 export {SplitChooser} from './lib/split-chooser.js';
 export {trafficPolicySchema} from './lib/traffic-policy.js';
--- a/packages/telemetry/src/lib/bounded-log.ts
+++ b/packages/telemetry/src/lib/bounded-log.ts
@@ -23,7 +23,11 @@
 export class BoundedLog {
   private readonly kinds = new Map<string, KindState>();
 
-  private constructor(private readonly options: BoundedLogOptions) {}
+  linesPerSecond: number;
+
+  private constructor(private readonly options: BoundedLogOptions) {
+    this.linesPerSecond = options.linesPerSecond;
+  }
 
   static create(options: BoundedLogOptions): BoundedLog {
     return new BoundedLog(options);
@@ -37,7 +41,7 @@
       state.secondStartMs = nowMs;
       state.lines = 0;
     }
-    if (state.lines >= this.options.linesPerSecond) {
+    if (state.lines >= this.linesPerSecond) {
       state.leftOut += 1;
       return;
     }
