--- a/packages/cli/src/lib/explain-command.ts
+++ b/packages/cli/src/lib/explain-command.ts
@@ -142,9 +142,11 @@
 }
 
 function describe(line: LogLine): string {
-  const {timestamp, instance, message, level: _level, ...fields} = line;
-  delete fields['requestId'];
-  const details = Object.entries(fields).map(
+  const {timestamp, instance, message, ...fields} = line;
+  const shown = Object.entries(fields).filter(
+    ([name]) => name !== 'level' && name !== 'requestId',
+  );
+  const details = shown.map(
     ([name, value]) => `${name}=${JSON.stringify(value)}`,
   );
   return [timestamp, instance ?? '?', message, ...details].join('  ');
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -31,6 +31,8 @@
 const REACH_WAIT_MS = 450;
 const REACH_CHECK_MS = 30;
 const CONNECT_CHECK_MS = 10;
+// A connection to another zone is closed when it was not used for this long.
+const UNUSED_MS = 4000;
 const CONFIRM_TIMEOUT_MS = 400;
 const STORE_RETRY_MS = 500;
 // Spreads the members that lost their leader at the same moment.
@@ -40,6 +42,8 @@
 
 export class ZoneElection {
   private leaders = new Map<string, Leader>();
+  /** When connections to leaders of other zones were last used. */
+  private readonly usedAtMs = new Map<string, number>();
   private leads = false;
   private stopped = false;
 
@@ -111,6 +115,7 @@
         continue;
       }
       this.learn(rows.val);
+      this.closeUnused();
       if (this.leads) await sleep(LEADER_CHECK_MS);
       else if (await this.reach()) await this.whileConnected();
       else await this.takeLead(rows.val);
@@ -167,6 +172,7 @@
     const leader = this.leaders.get(self.availabilityZone)!;
     while (!this.stopped && this.isConnected(leader)) {
       await sleep(MEMBER_CHECK_MS);
+      this.closeUnused();
     }
     if (this.stopped) return;
     network.disconnect(leader.instanceId);
@@ -186,6 +192,10 @@
 
   /** Connects to a leader of another zone; whether that came about in time. */
   async connect(leader: Leader, waitMs: number): Promise<boolean> {
+    const {availabilityZone} = this.options.self;
+    if (leader.availabilityZone !== availabilityZone) {
+      this.usedAtMs.set(leader.instanceId, performance.now());
+    }
     if (this.isConnected(leader)) return true;
     this.options.network.connectTo(leader);
     const giveUpAtMs = performance.now() + waitMs;
@@ -196,6 +206,16 @@
     return false;
   }
 
+  /** Connections between zones cost bytes while they stand. */
+  private closeUnused(): void {
+    const nowMs = performance.now();
+    for (const [instanceId, usedAtMs] of this.usedAtMs) {
+      if (nowMs - usedAtMs < UNUSED_MS) continue;
+      this.usedAtMs.delete(instanceId);
+      this.options.network.disconnect(instanceId);
+    }
+  }
+
   private isConnected(leader: Leader): boolean {
     const {instanceId} = leader;
     return this.options.network
