Count the fleet instead of setting its size

Cause: the share of repeats and of connections to a server was divided by a set 46 instances. A deployment of 104 instances would exceed the fleet's bounds by more than twice (0.75 x 178 / 46 x 104 = 302 repeats against 178 allowed).

Each leader counts the instances of its zone, writes the number to its row when it changes, and tells the sum to the members.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -35,6 +35,8 @@
 // The policy is asked for this often, so that a request with an unknown key or
 // route rarely needs a read of its own.
 const POLICY_RELAY_WAIT_MS = 600;
+// Instances that start or restart are counted some seconds later.
+const COUNT_MARGIN = 1.15;
 // Keys are refused this long before the promise on withdrawn keys would end,
 // for the difference of clock rates.
 const REVOCATION_MARGIN_MS = 500;
@@ -115,7 +117,7 @@
         ratio: promises.repeat_ratio,
         fleetAllowance: promises.repeat_allowance,
         windowMs: promises.repeat_window_ms,
-        maxInstances: instance.max_instances,
+        instances: () => this.instances,
       },
       connectionLimitOf: service =>
         this.policies.current()?.service(service)?.maxConnectionsPerServer,
@@ -158,6 +160,7 @@
         availabilityZone: instance.availability_zone,
         region: instance.region,
         ...settings.peer.listen,
+        instances: 1,
       },
       table: sources.fleetTable,
       rateBounds: {
@@ -245,6 +248,13 @@
     return this.stopping;
   }
 
+  /** Instances that may run now, with room for those not counted yet. */
+  private get instances(): number {
+    const counted = this.zone.instances;
+    if (counted === undefined) return this.settings.instance.max_instances;
+    return Math.ceil(counted * COUNT_MARGIN) + 1;
+  }
+
   private get keyFreshnessMs(): number {
     return this.settings.promises.revocation_ms - REVOCATION_MARGIN_MS;
   }
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -44,7 +44,7 @@
     availability_zone: z.string().min(1),
     region: z.string().min(1),
     zones: zoneRegions,
-    /** Most instances that may run at the same time. */
+    /** Instances to reckon with until they were counted. */
     max_instances: count,
   }),
   entry: z.strictObject({
--- a/packages/upstream/src/lib/repeat-budget.ts
+++ b/packages/upstream/src/lib/repeat-budget.ts
@@ -10,8 +10,8 @@
   /** Repeats allowed beside that, for the whole fleet in one window. */
   fleetAllowance: number;
   windowMs: number;
-  /** Most instances that may run at the same time. */
-  maxInstances: number;
+  /** Instances that may run now. */
+  instances(): number;
 }
 
 // Kept back of the allowance: requests may end in a later window than they
@@ -20,13 +20,10 @@
 
 export class RepeatBudget {
   private tokens: number;
-  private readonly capacity: number;
   private refilledAtMs = performance.now();
 
   private constructor(private readonly options: RepeatBudgetOptions) {
-    const {fleetAllowance, maxInstances} = options;
-    this.capacity = 1 + (USED_SHARE * fleetAllowance) / maxInstances;
-    this.tokens = Math.min(1, this.capacity);
+    this.tokens = 1;
   }
 
   static create(options: RepeatBudgetOptions): RepeatBudget {
@@ -46,14 +43,19 @@
   }
 
   private refill(): void {
-    const {fleetAllowance, maxInstances, windowMs} = this.options;
     const nowMs = performance.now();
-    const perMs = (USED_SHARE * fleetAllowance) / maxInstances / windowMs;
+    const perMs = this.allowance / this.options.windowMs;
     this.add((nowMs - this.refilledAtMs) * perMs);
     this.refilledAtMs = nowMs;
   }
 
+  /** Repeats of this instance in one window beside those of its requests. */
+  private get allowance(): number {
+    const {fleetAllowance, instances} = this.options;
+    return (USED_SHARE * fleetAllowance) / instances();
+  }
+
   private add(tokens: number): void {
-    this.tokens = Math.min(this.capacity, this.tokens + tokens);
+    this.tokens = Math.min(1 + this.allowance, this.tokens + tokens);
   }
 }
--- a/packages/upstream/src/lib/server-pool.ts
+++ b/packages/upstream/src/lib/server-pool.ts
@@ -5,7 +5,7 @@
   host: string;
   port: number;
   /** Most connections of this process at the same time. */
-  maxConnections: number;
+  maxConnections(): number;
 }
 
 export class ServerPool {
@@ -21,7 +21,7 @@
 
   /** Whether a request would find a connection. */
   get hasRoom(): boolean {
-    return this.idle.length > 0 || this.open < this.options.maxConnections;
+    return this.idle.length > 0 || this.open < this.options.maxConnections();
   }
 
   /**
@@ -36,7 +36,7 @@
       if (connection.isOpen && idleMs <= maxIdleMs) return connection;
       this.drop(connection);
     }
-    if (this.open >= this.options.maxConnections) return undefined;
+    if (this.open >= this.options.maxConnections()) return undefined;
     this.open += 1;
     const {host, port} = this.options;
     const connection = ServerConnection.create(host, port, () => {
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -41,7 +41,10 @@
     readonly pool: ServerPool,
   ) {}
 
-  static create(server: CatalogServer, maxConnections: number): ServerRecord {
+  static create(
+    server: CatalogServer,
+    maxConnections: () => number,
+  ): ServerRecord {
     const {host, port} = server.report;
     const pool = ServerPool.create({host, port, maxConnections});
     return new ServerRecord(server, pool);
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -46,11 +46,7 @@
 
   addServer(server: CatalogServer): void {
     const {service} = server.report;
-    const {maxInstances} = this.options.repeats;
-    const limit =
-      this.options.connectionLimitOf(service) ?? DEFAULT_CONNECTION_LIMIT;
-    const share = Math.max(1, Math.floor(limit / maxInstances));
-    const record = ServerRecord.create(server, share);
+    const record = ServerRecord.create(server, () => this.shareOf(service));
     this.records.set(server, record);
     this.service(service).add(record);
   }
@@ -102,6 +98,14 @@
     return Object.fromEntries(services);
   }
 
+  /** Connections of this instance to one server of the service. */
+  private shareOf(service: string): number {
+    const limit =
+      this.options.connectionLimitOf(service) ?? DEFAULT_CONNECTION_LIMIT;
+    const share = Math.floor(limit / this.options.repeats.instances());
+    return Math.max(1, share);
+  }
+
   private service(name: string): ServiceState {
     let state = this.services.get(name);
     if (!state) {
--- a/packages/upstream/src/test/repeat-budget_test.ts
+++ b/packages/upstream/src/test/repeat-budget_test.ts
@@ -23,7 +23,7 @@
         ratio: RATIO,
         fleetAllowance: ALLOWANCE,
         windowMs: WINDOW_MS,
-        maxInstances: INSTANCES,
+        instances: () => INSTANCES,
       }),
     );
     const perInstance = 20;
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -45,7 +45,7 @@
         ratio: 1,
         fleetAllowance: 100,
         windowMs: 1000,
-        maxInstances: 1,
+        instances: () => 1,
       },
       connectionLimitOf: () => 10,
       floorShare: 0.7,
--- a/packages/zone/src/lib/leader-row.ts
+++ b/packages/zone/src/lib/leader-row.ts
@@ -17,6 +17,8 @@
   region: z.string().min(1),
   host: z.string().min(1),
   port: z.number().int().min(1).max(65535),
+  /** Instances of the zone as the leader sees them, itself included. */
+  instances: z.number().int().min(1).default(1),
 });
 export type Leader = z.infer<typeof leaderSchema>;
 
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -9,6 +9,7 @@
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import type {Logger} from '@fireflytrack/telemetry';
 import type {PeerDialer, PeerNetwork} from '@fireflytrack/wire';
+import {z} from 'zod';
 import {leaderKeyOf, leadersOf, versionOf} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 
@@ -21,7 +22,14 @@
   onLead(): void;
 }
 
-export const CONFIRM_LEADER = 'zone.confirm';
+const CONFIRM_LEADER = 'zone.confirm';
+const FLEET_SIZE = 'zone.fleet-size';
+
+const confirmationSchema = z.object({
+  leads: z.boolean(),
+  instances: z.number().int().positive(),
+});
+const fleetSizeSchema = z.object({instances: z.number().int().positive()});
 
 // A leader looks at its row this often; it bounds how long two may act.
 const LEADER_CHECK_MS = 2000;
@@ -46,19 +54,28 @@
   private readonly usedAtMs = new Map<string, number>();
   private leads = false;
   private stopped = false;
+  private fleetSize = 1;
 
   private constructor(private readonly options: ZoneElectionOptions) {
-    const {network, self} = options;
+    const {network} = options;
     network.onRequest(CONFIRM_LEADER, () => ({
-      leads: this.leads && !this.stopped,
-      lifeId: self.lifeId,
+      leads: this.isLeader,
+      instances: this.fleetSize,
     }));
+    network.onMessage(FLEET_SIZE, (_from, payload) => {
+      this.fleetSize = fleetSizeSchema.parse(payload).instances;
+    });
   }
 
   static create(options: ZoneElectionOptions): ZoneElection {
     return new ZoneElection(options);
   }
 
+  /** Instances of all zones, as their leaders last counted them. */
+  get instances(): number {
+    return this.fleetSize;
+  }
+
   /** Whether this instance leads its zone. */
   get isLeader(): boolean {
     return this.leads && !this.stopped;
@@ -116,7 +133,7 @@
       }
       this.learn(rows.val);
       this.closeUnused();
-      if (this.leads) await sleep(LEADER_CHECK_MS);
+      if (this.leads) await this.lead(rows.val);
       else if (await this.reach()) await this.whileConnected();
       else await this.takeLead(rows.val);
     }
@@ -139,6 +156,33 @@
     });
   }
 
+  /** Counts the fleet, tells the own zone, and rests until the next look. */
+  private async lead(rows: readonly TableRow[]): Promise<void> {
+    const {network, self, table} = this.options;
+    const inZone = network
+      .peers()
+      .filter(peer => peer.availabilityZone === self.availabilityZone);
+    const instances = inZone.length + 1;
+    const key = leaderKeyOf(self.availabilityZone);
+    if (this.leaders.get(self.availabilityZone)?.instances !== instances) {
+      const ifVersion = versionOf(rows, key);
+      const value = {...self, instances};
+      const put = {kind: 'put' as const, key, ifVersion, value};
+      // A failed write is tried again at the next look, which also tells
+      // whether another instance has taken the lead.
+      await table.batch([put], {atomic: true});
+    }
+    let total = instances;
+    for (const leader of this.otherLeaders) total += leader.instances;
+    if (total !== this.fleetSize) {
+      this.fleetSize = total;
+      for (const peer of inZone) {
+        network.send(peer.instanceId, FLEET_SIZE, {instances: total});
+      }
+    }
+    await sleep(LEADER_CHECK_MS);
+  }
+
   /** Connects to the leader of the row; whether it is there and leads. */
   private async reach(): Promise<boolean> {
     const {network, self, logger} = this.options;
@@ -159,9 +203,11 @@
       {},
       CONFIRM_TIMEOUT_MS,
     );
-    const confirmed =
-      answer.ok &&
-      (answer.val as {leads?: unknown} | undefined)?.leads === true;
+    const confirmation = confirmationSchema.safeParse(
+      answer.ok ? answer.val : undefined,
+    );
+    const confirmed = confirmation.success && confirmation.data.leads;
+    if (confirmation.success) this.fleetSize = confirmation.data.instances;
     if (confirmed) logger.info('follows leader', {leader: leader.instanceId});
     else network.disconnect(leader.instanceId);
     return confirmed;
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -80,6 +80,13 @@
     this.limiter?.giveBack(team);
   }
 
+  /** Instances of the fleet; undefined before the zone was joined. */
+  get instances(): number | undefined {
+    const {election} = this;
+    const known = election?.isLeader || election?.reachableLeader;
+    return known ? election?.instances : undefined;
+  }
+
   get isLeader(): boolean {
     return this.election?.isLeader ?? false;
   }
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -44,6 +44,7 @@
       region: 'nord',
       host: '10.0.0.1',
       port: 7100,
+      instances: 1,
     };
     const peers = network.join({
       instanceId,
@@ -95,6 +96,21 @@
     expect(leading!.election.zoneCount).toEqual(2);
   });
 
+  it('tells every instance how many there are in all zones', async () => {
+    const north = ['n1', 'n2', 'n3'].map(id => join(id, 'nord-a'));
+    const south = ['s1', 's2'].map(id => join(id, 'sud-a'));
+    await clock.tickAsync(10_000);
+    // The memory network connects all instances, as leaders and members are.
+    for (const {election} of [...north, ...south]) {
+      expect(election.instances).toEqual(5);
+    }
+    join('s3', 'sud-a');
+    await clock.tickAsync(10_000);
+    for (const {election} of [...north, ...south]) {
+      expect(election.instances).toEqual(6);
+    }
+  });
+
   it('replaces a leader that is gone', async () => {
     const all = ['n1', 'n2', 'n3'].map(id => join(id, 'nord-a'));
     await clock.tickAsync(5000);
