--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,7 @@
 export {BoundedLog} from './lib/bounded-log.js';
 export type {BoundedLogOptions} from './lib/bounded-log.js';
+export {BoundedOutput} from './lib/bounded-output.js';
+export type {BoundedOutputOptions} from './lib/bounded-output.js';
 export {createLogger} from './lib/logger.js';
 export type {Logger, LoggerOptions} from './lib/logger.js';
 export {StatsdMetrics, DisabledMetrics} from './lib/metrics.js';
--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -4,6 +4,7 @@
  * Programs that print results on standard output log on standard error.
  */
 import winston from 'winston';
+import {standardOutput} from './bounded-output.js';
 
 export type Logger = winston.Logger;
 
@@ -30,9 +31,9 @@
       winston.format.json(),
     ),
     transports: [
-      new winston.transports.Console({
-        stderrLevels: options.stream === 'stdout' ? [] : levels,
-      }),
+      options.stream === 'stdout'
+        ? new winston.transports.Stream({stream: standardOutput(), eol: '\n'})
+        : new winston.transports.Console({stderrLevels: levels}),
     ],
   });
 }
--- a/packages/telemetry/src/lib/metrics.ts
+++ b/packages/telemetry/src/lib/metrics.ts
@@ -1,7 +1,7 @@
 /**
  * Metrics over StatsD (UDP) by hot-shots, or none.
  *
- * Names and units are listed in docs/operations.md.
+ * Names and units are listed in docs/OPERATIONS.md.
  */
 import {StatsD} from 'hot-shots';
 
--- /dev/null
+++ b/packages/telemetry/src/test/bounded-output_test.ts
@@ -0,0 +1,76 @@
+/** Guards against logs that block the process or grow without a bound. */
+import {expect} from 'earl';
+import {Writable} from 'node:stream';
+import {spawn} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {describe, it} from 'node:test';
+import {BoundedLog} from '../lib/bounded-log.js';
+import {BoundedOutput} from '../lib/bounded-output.js';
+import {createLogger} from '../lib/logger.js';
+
+const loggerModule = fileURLToPath(
+  new URL('../lib/logger.js', import.meta.url),
+);
+
+describe('bounded output', () => {
+  it('drops lines while the reader is slow, and tells how many', () => {
+    const held: (() => void)[] = [];
+    const written: string[] = [];
+    const target = new Writable({
+      highWaterMark: 1,
+      write(line, _encoding, callback) {
+        written.push(String(line));
+        held.push(callback);
+      },
+    });
+    const output = BoundedOutput.create({target, maxWaitingBytes: 100});
+    for (let line = 0; line < 100; line += 1) output.write('0123456789\n');
+    expect(target.writableLength < 200).toEqual(true);
+    while (held.length > 0) held.shift()!();
+    output.write('after\n');
+    while (held.length > 0) held.shift()!();
+    const told = written.find(line => line.includes('dropped'));
+    expect(JSON.parse(told!).lines > 50).toEqual(true);
+  });
+
+  it('does not block the process when nobody reads standard output', async () => {
+    const program = `
+      import {createLogger} from ${JSON.stringify(loggerModule)};
+      const logger = createLogger({level: 'info', stream: 'stdout'});
+      for (let n = 0; n < 20000; n += 1) logger.info('x'.repeat(200));
+      setTimeout(() => { console.error('alive'); process.exit(0); }, 100);
+    `;
+    const args = ['--input-type=module', '-e', program];
+    const child = spawn(process.execPath, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const alive = await new Promise<string>(resolve => {
+      child.stderr.once('data', chunk => resolve(String(chunk)));
+      child.once('exit', () => resolve('ended'));
+    });
+    child.kill('SIGKILL');
+    expect(alive.trim()).toEqual('alive');
+  });
+});
+
+describe('bounded log', () => {
+  it('bounds the lines of each kind and tells what was left out', () => {
+    const lines: unknown[][] = [];
+    const logger = createLogger({level: 'info', silent: true});
+    const record = (...line: unknown[]) => {
+      lines.push(line);
+      return logger;
+    };
+    logger.log = record as typeof logger.log;
+    logger.info = record as unknown as typeof logger.info;
+    const log = BoundedLog.create({logger, linesPerSecond: 5});
+    for (let line = 0; line < 1000; line += 1) log.write('info', 'a', {line});
+    log.write('info', 'b', {});
+    expect(lines.length).toEqual(6);
+    log.flush();
+    expect(lines.at(-1)).toEqual([
+      'log lines left out',
+      {kind: 'a', leftOut: 995},
+    ]);
+  });
+});
