--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -16,7 +16,7 @@
   deadlineMs: 'deadline-ms',
   expectedServer: 'expected-server',
   team: 'team',
-  notExecuted: 'not-executed',
+  notExecuted: 'not-run',
   signature: 'signature',
 };
 
@@ -196,7 +196,7 @@
       void request.socket.write(
         answerTo(request, {
           status: '503 Full',
-          headers: 'Not-Executed: 1\r\n',
+          headers: 'Not-Run: 1\r\n',
         }),
       );
     await start(reject, good);
--- /dev/null
+++ b/packages/zone/src/test/feed-relay_test.ts
@@ -0,0 +1,127 @@
+/** Guards against news that a leader holds back or tells as fresher than it is. */
+import type {ChangeFeed, FeedPage} from '@fireflytrack/discovery';
+import {Ok} from '@fireflytrack/result';
+import {MemoryNetwork} from '@fireflytrack/wire';
+import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
+import {expect} from 'earl';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {z} from 'zod';
+import {FeedRelay} from '../lib/feed-relay.js';
+import {RelayedFeed} from '../lib/relayed-feed.js';
+import type {ZoneElection} from '../lib/zone-election.js';
+
+const MAX_AGE_MS = 1400;
+const WAIT_MS = 600;
+
+function page(
+  revision: number,
+  rows: Record<string, string | undefined>,
+): FeedPage<string> {
+  const list = Object.entries(rows).map(([key, item]) => ({key, item}));
+  return {rows: list, revision, confirmedOffsetMs: 0};
+}
+
+describe('relayed feed', () => {
+  let clock: Clock;
+  let relay: FeedRelay<string>;
+  let feed: RelayedFeed<string>;
+  let ageMs: number;
+  let leads: boolean;
+  let directReads: number;
+
+  beforeEach(() => {
+    clock = FakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    const network = MemoryNetwork.create();
+    const identity = (instanceId: string) => ({
+      instanceId,
+      availabilityZone: 'z',
+      region: 'r',
+    });
+    const leader = network.join(identity('leader'));
+    const member = network.join(identity('member'));
+    [ageMs, leads, directReads] = [100, true, 0];
+    const election = {
+      get isLeader() {
+        return leads;
+      },
+      reachableLeader: {instanceId: 'leader'},
+    } as unknown as ZoneElection;
+    relay = FeedRelay.create<string>(
+      {name: 'f', maxAgeMs: MAX_AGE_MS},
+      () => ageMs,
+    );
+    relay.serve(leader, election);
+    const direct: ChangeFeed<string> = {
+      readAll: async () => {
+        directReads += 1;
+        return Ok(page(50, {direct: 'yes'}));
+      },
+      changesAfter: async () => {
+        directReads += 1;
+        return Ok(page(50, {direct: 'yes'}));
+      },
+      close: async () => {},
+    };
+    feed = RelayedFeed.create<string>({
+      name: 'f',
+      direct,
+      itemSchema: z.string(),
+      relayWaitMs: WAIT_MS,
+    });
+    feed.useRelay({network: member, election});
+    relay.keep(page(10, {a: '1', b: '2'}), true);
+  });
+  afterEach(() => clock.uninstall());
+
+  async function settle<T>(promise: Promise<T>, advanceMs = 5): Promise<T> {
+    await clock.tickAsync(advanceMs);
+    return promise;
+  }
+
+  it('passes all rows, then changes and removals as they come', async () => {
+    const all = (await settle(feed.readAll())).unwrap();
+    expect(all.rows.length).toEqual(2);
+    expect(all.revision).toEqual(10);
+    const waiting = feed.changesAfter(10, 5000);
+    await clock.tickAsync(300);
+    relay.keep(page(12, {a: undefined}), false);
+    const change = (await settle(waiting)).unwrap();
+    expect(change.rows).toEqual([{key: 'a', item: undefined}]);
+    expect(change.revision).toEqual(12);
+    expect(directReads).toEqual(0);
+  });
+
+  it('tells the age that the leader had, and the wait of a quiet call', async () => {
+    const all = (await settle(feed.readAll())).unwrap();
+    expect(all.confirmedOffsetMs).toEqual(-100);
+    const quiet = settle(feed.changesAfter(10, 5000), WAIT_MS + 5);
+    expect((await quiet).unwrap().confirmedOffsetMs).toEqual(WAIT_MS - 100);
+  });
+
+  it('reads the table when the leader lost its own feed', async () => {
+    ageMs = MAX_AGE_MS + 1;
+    const read = (await settle(feed.changesAfter(10, 1000))).unwrap();
+    expect(read.rows[0]!.key).toEqual('direct');
+    expect(directReads).toEqual(1);
+  });
+
+  it('reads the table when the leader lost its lead', async () => {
+    leads = false;
+    await settle(feed.changesAfter(10, 1000));
+    expect(directReads).toEqual(1);
+  });
+
+  it('asks for all rows when the leader does not know what went before', async () => {
+    const answer = await settle(feed.changesAfter(9, 1000));
+    if (answer.ok) throw new Error('was answered');
+    expect(answer.val.kind).toEqual('history-gone');
+  });
+
+  it('does not go back behind what the member knows already', async () => {
+    const ahead = settle(feed.changesAfter(20, 1000), WAIT_MS + 5);
+    expect((await ahead).unwrap().revision).toEqual(20);
+  });
+});
