Believe a promise of "not run" only from an answer that names the request

Cause: an answer that says that the request was not run was taken without the echoed id, so that one for another request could make a refusal untrue, or let a one-time request be sent twice. Test: 'says "not run" without naming the request' fails without the change (35 of 36 pass) and passes with it.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -174,9 +174,9 @@
 
   private headFault(): string | undefined {
     const {headerNames, request} = this.options;
+    // A promise that the request has not run counts only for the request that
+    // the answer names.
     if (this.headers[headerNames.requestId] !== request.requestId) {
-      const missing = this.headers[headerNames.requestId] === undefined;
-      if (missing && this.isRejection()) return undefined;
       return `answer to another request (status ${this.status})`;
     }
     if (this.headers['content-encoding'] !== undefined) {
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -126,6 +126,18 @@
       void request.socket.end('\0\0garbage\r\n\r\n'),
     'answers with a success that is not signed': request =>
       void request.socket.write(answerTo(request, {headers: ''})),
+    'says "not run" of another request': request =>
+      void request.socket.write(
+        answerTo(request, {
+          id: 'other',
+          status: '503 Full',
+          headers: 'Not-Run: 1\r\n',
+        }),
+      ),
+    'says "not run" without naming the request': request =>
+      void request.socket.write(
+        'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n',
+      ),
     'answers with an encoded body': request =>
       void request.socket.write(
         answerTo(request, {
