Put failing servers on trial, distrust idle connections, refill the tolerated overrun

Gray phases last some 9 s there, and each cost 5 to 6 requests: trials after 1.5, 4.5 and 10.5 s by several instances at once, repeats sent to a second server on trial. 104 requests of one team whose rate was lowered were refused; about a third of these the users count as owed, because the operator tolerates an overrun that was used up once and not refilled. Change: an avoided server is on trial until it answers well; it gets one request at a time and no repeats; instances that were told of the failure come back later than the one that saw it, and a failed trial of another instance prolongs the pause. One-time requests use connections idle for at most 250 ms, and a kept connection that was dead no longer counts as a fault of its server. Buckets refill at the rate with its tolerated overrun; the used share of burst and slack falls from 0.8 to 0.75, so that the margin of a window stays. Ruled out: raising what a new leader begins with; with all leaders replaced within a window it passed the bound at a rate of 200 (own test).

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -164,7 +164,6 @@
       },
       table: sources.fleetTable,
       rateBounds: {
-        windowMs: promises.rate_window_ms,
         overrun: promises.rate_overrun,
         slack: promises.rate_slack,
       },
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -86,7 +86,6 @@
     repeat_window_ms: durationMs,
     /** Share of a service's servers that stays in use. */
     floor_share: z.coerce.number().min(0).max(1),
-    rate_window_ms: durationMs,
     rate_overrun: z.coerce.number().nonnegative(),
     rate_slack: z.coerce.number().nonnegative(),
   }),
--- a/packages/gateway/src/testing/settings-text.ts
+++ b/packages/gateway/src/testing/settings-text.ts
@@ -49,7 +49,6 @@
 repeat_allowance = 60
 repeat_window_ms = 10000
 floor_share = 0.7
-rate_window_ms = 5000
 rate_overrun = 0.1
 rate_slack = 20
 [log]
--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -24,7 +24,15 @@
   /** No byte of the request left this process. */
   | {kind: 'not-sent'; reason: string}
   /** The request may have run. */
-  | {kind: 'failed'; reason: string};
+  | {
+      kind: 'failed';
+      reason: string;
+      /**
+       * A kept connection ended before any byte of an answer, so that the
+       * connection may be at fault and not the server.
+       */
+      isStaleConnection: boolean;
+    };
 
 export interface AttemptOptions {
   request: UpstreamRequest;
@@ -132,7 +140,10 @@
   }
 
   onResponseError(_controller: unknown, error: Error): void {
-    this.fail(error.message);
+    const {connection} = this.options;
+    const ended = connection.wasReset || connection.hasEnded;
+    const unanswered = this.status === 0 && !this.cancelled;
+    this.fail(error.message, connection.isReused && ended && unanswered);
   }
 
   private dispatch(): void {
@@ -262,9 +273,13 @@
     return this.isFramed() && !closes;
   }
 
-  private fail(reason: string): void {
+  private fail(reason: string, isStaleConnection = false): void {
     const {stream} = this;
-    this.settle({kind: this.started ? 'failed' : 'not-sent', reason});
+    this.settle(
+      this.started
+        ? {kind: 'failed', reason, isStaleConnection}
+        : {kind: 'not-sent', reason},
+    );
     this.release(false);
     this.controller?.abort(new Error(reason));
     stream?.destroy(new Error(reason));
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -79,10 +79,12 @@
 const HEDGE_OBJECTIVE_SHARE = 0.5;
 const HEDGE_TYPICAL_FACTOR = 2;
 const FIRST_SERVER_ERROR = 500;
-// A kept connection is more likely to be dead the longer it was idle, and a
-// non-idempotent request that is lost on one cannot be repeated.
+// A kept connection may be dead without notice, and a non-idempotent request
+// that is lost on one cannot be repeated; a new one costs a round trip.
 const MAX_IDLE_REPEATABLE_MS = 60_000;
-const MAX_IDLE_ONCE_MS = 3000;
+const MAX_IDLE_ONCE_MS = 250;
+// Servers that drop idle connections early were seen to wait for 300 ms.
+const MAX_IDLE_DISTRUSTED_MS = 100;
 
 export class RequestRun {
   private readonly running = new Set<RunningAttempt>();
@@ -160,7 +162,11 @@
       case 'failed':
         this.lastReason = result.reason;
         this.mayHaveRun = true;
-        state.failed(record, 'fault', result.reason);
+        state.failed(
+          record,
+          result.isStaleConnection ? 'stale-connection' : 'fault',
+          result.reason,
+        );
         if (this.options.repeatable) this.startRepeat();
         return undefined;
     }
@@ -240,11 +246,9 @@
       targetLatencyMs,
       baselineMs,
       tried: this.tried,
+      isRepeat: this.tried.size > 0,
     });
-    const maxIdleMs = options.repeatable
-      ? MAX_IDLE_REPEATABLE_MS
-      : MAX_IDLE_ONCE_MS;
-    const connection = record?.pool.take(maxIdleMs);
+    const connection = record?.pool.take(this.maxIdleMs(record));
     if (!record || !connection) return;
     this.tried.add(record);
     this.sentAttempts += 1;
@@ -271,6 +275,14 @@
     this.running.add(running);
   }
 
+  /** How long a connection to the server may have been idle. */
+  private maxIdleMs(record: ServerRecord): number {
+    if (!record.trustsIdleConnections(performance.now())) {
+      return MAX_IDLE_DISTRUSTED_MS;
+    }
+    return this.options.repeatable ? MAX_IDLE_REPEATABLE_MS : MAX_IDLE_ONCE_MS;
+  }
+
   private async nextEvent(ended: Promise<Event>): Promise<Event> {
     const waits: Promise<Event>[] = [ended];
     for (const {done} of this.running) {
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -23,6 +23,8 @@
   readonly client: Client;
   /** Monotonic time at which it became idle; for reuse rules. */
   idleSinceMs = 0;
+  /** Whether it has carried a request before. */
+  isReused = false;
   wasReset = false;
   /** The server closed its side. */
   hasEnded = false;
--- a/packages/upstream/src/lib/server-picker.ts
+++ b/packages/upstream/src/lib/server-picker.ts
@@ -16,6 +16,8 @@
   baselineMs: number;
   /** Servers that the request was sent to before. */
   tried: ReadonlySet<ServerRecord>;
+  /** Whether this is the request's second chance or a later one. */
+  isRepeat: boolean;
 }
 
 // Latency that a shorter way is worth, as parts of the latency objective.
@@ -24,6 +26,9 @@
 // An avoided server is chosen only when there is no other.
 const AVOIDED_PENALTY = 20;
 const TRIED_PENALTY = 10;
+// A server on trial is no place for a request's last chance, nor for more than
+// one request at a time.
+const TRIAL_PENALTY = 10;
 // A server that has just started takes about twice as long.
 const COLD_FACTOR = 2;
 // Half-width of the random factor that spreads requests over equal servers.
@@ -75,6 +80,8 @@
     let penalty = this.distancePenalty(record);
     if (record.isAvoided(nowMs)) penalty += AVOIDED_PENALTY;
     if (tried.has(record)) penalty += TRIED_PENALTY;
+    const isBusyOrRepeat = record.inFlight > 0 || options.isRepeat;
+    if (isBusyOrRepeat && record.isOnTrial(nowMs)) penalty += TRIAL_PENALTY;
     return expectedMs * spread + penalty * targetLatencyMs;
   }
 
--- a/packages/upstream/src/lib/server-pool.ts
+++ b/packages/upstream/src/lib/server-pool.ts
@@ -54,6 +54,7 @@
       return;
     }
     connection.idleSinceMs = performance.now();
+    connection.isReused = true;
     this.idle.push(connection);
   }
 
@@ -62,9 +63,14 @@
     connection.close();
   }
 
+  /** Closes the connections that are idle. */
+  dropIdle(): void {
+    for (const connection of this.idle.splice(0)) this.drop(connection);
+  }
+
   /** Closes idle connections now and the others when they are given back. */
   close(): void {
     this.closed = true;
-    for (const connection of this.idle.splice(0)) this.drop(connection);
+    this.dropIdle();
   }
 }
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -1,16 +1,33 @@
-/** What this process knows of one backend server: load, latency, failures. */
+/**
+ * What this process knows of one backend server: load, latency, failures.
+ *
+ * A server that fails is avoided for a while and is then on trial: until it
+ * has answered well, only requests that could still be repeated, or one at a
+ * time, are sent to it.
+ */
 import type {CatalogServer} from '@fireflytrack/discovery';
 import {LatencyEstimate} from './latency-estimate.js';
 import {ServerPool} from './server-pool.js';
 
-// Pause after the first failures, doubled for each that follows. Gray phases
-// last about 5 s, so that two or three pauses span one.
-const FIRST_AVOID_MS = 1500;
+// Pauses after the first failures; each further one lasts longer. Gray phases
+// last 5 to 12 s, and each trial within one costs a request.
+const FIRST_AVOID_MS = 2500;
+const AVOID_GROWTH = 1.6;
 const MAX_AVOID_MS = 6000;
+// An instance that was told of a failure comes back later than the one that
+// saw it by up to this part of the pause, so that one of them makes the trial.
+const REPORTED_DELAY_MIN = 0.15;
+const REPORTED_DELAY_MAX = 0.6;
+// Failures within this time of the first belong to requests that were under way
+// when the server began to fail, and say nothing new.
+const SAME_FAILURE_MS = 1200;
 // Strikes at which a server is avoided. One failed status is enough: sound
 // servers fail about one request in a hundred, gray ones most of them.
 const AVOID_STRIKES = 1;
 const STRIKES_FORGIVEN_PER_SUCCESS = 0.25;
+// After a kept connection turned out to be dead, the others that were idle are
+// not trusted for this long.
+const IDLE_DISTRUST_MS = 8000;
 
 export type FailureSign =
   /** Reset, hang, broken or foreign answer. */
@@ -20,13 +37,16 @@
   /** Another instance saw a fault or an error status. */
   | 'reported'
   /** The server is full and did not run the request. */
-  | 'rejected';
+  | 'rejected'
+  /** A kept connection was dead before the request was sent on it. */
+  | 'stale-connection';
 
 const STRIKES: Record<FailureSign, number> = {
   fault: 1,
   'error-status': 1,
   reported: 1,
   rejected: 0.5,
+  'stale-connection': 0.25,
 };
 
 export class ServerRecord {
@@ -34,20 +54,25 @@
   inFlight = 0;
   private strikes = 0;
   private avoidances = 0;
+  private avoidedAtMs = -Infinity;
   private avoidUntilMs = 0;
+  private unproven = false;
+  private distrustIdleUntilMs = 0;
 
   private constructor(
     readonly server: CatalogServer,
     readonly pool: ServerPool,
+    private readonly random: () => number,
   ) {}
 
   static create(
     server: CatalogServer,
     maxConnections: () => number,
+    random: () => number = Math.random,
   ): ServerRecord {
     const {host, port} = server.report;
     const pool = ServerPool.create({host, port, maxConnections});
-    return new ServerRecord(server, pool);
+    return new ServerRecord(server, pool, random);
   }
 
   get serverId(): string {
@@ -58,10 +83,20 @@
     return nowMs < this.avoidUntilMs;
   }
 
+  /** Whether it was avoided and has not answered well since. */
+  isOnTrial(nowMs: number): boolean {
+    return this.unproven && !this.isAvoided(nowMs);
+  }
+
   isWarm(nowMs: number): boolean {
     return nowMs >= this.server.warmUntilMs;
   }
 
+  /** Whether connections that were idle for a while may be used. */
+  trustsIdleConnections(nowMs: number): boolean {
+    return nowMs >= this.distrustIdleUntilMs;
+  }
+
   /** Monotonic time at which the avoidance ends. */
   get avoidedUntilMs(): number {
     return this.avoidUntilMs;
@@ -69,24 +104,48 @@
 
   succeeded(): void {
     this.strikes = Math.max(0, this.strikes - STRIKES_FORGIVEN_PER_SUCCESS);
+    // An answer to a request from before the failure proves nothing.
+    if (!this.isAvoided(performance.now())) this.unproven = false;
     if (this.strikes === 0) this.avoidances = 0;
   }
 
-  /** Returns whether the server is avoided from now on. */
+  /** Returns whether the server is avoided from now on, or for longer. */
   failed(sign: FailureSign): boolean {
-    this.strikes += STRIKES[sign];
-    if (this.strikes < AVOID_STRIKES) return false;
     const nowMs = performance.now();
-    if (this.isAvoided(nowMs)) return false;
-    const avoidMs = FIRST_AVOID_MS * 2 ** this.avoidances;
-    this.avoidances += 1;
-    this.avoidUntilMs = nowMs + Math.min(avoidMs, MAX_AVOID_MS);
-    // One more failure after the pause is enough for the next one.
-    this.strikes = AVOID_STRIKES / 2;
+    if (sign === 'stale-connection') {
+      this.distrustIdleUntilMs = nowMs + IDLE_DISTRUST_MS;
+      this.pool.dropIdle();
+    }
+    if (this.isAvoided(nowMs)) {
+      const isNews = nowMs - this.avoidedAtMs >= SAME_FAILURE_MS;
+      if (!isNews || STRIKES[sign] < AVOID_STRIKES) return false;
+    } else {
+      this.strikes += STRIKES[sign];
+      if (this.strikes < AVOID_STRIKES) return false;
+    }
+    this.avoid(nowMs, sign);
     return true;
   }
 
   readmit(): void {
     this.avoidUntilMs = 0;
   }
+
+  private avoid(nowMs: number, sign: FailureSign): void {
+    const pauseMs = Math.min(
+      FIRST_AVOID_MS * AVOID_GROWTH ** this.avoidances,
+      MAX_AVOID_MS,
+    );
+    const delayShare =
+      sign === 'reported'
+        ? REPORTED_DELAY_MIN +
+          (REPORTED_DELAY_MAX - REPORTED_DELAY_MIN) * this.random()
+        : 0;
+    this.avoidances += 1;
+    this.avoidedAtMs = nowMs;
+    this.avoidUntilMs = nowMs + pauseMs * (1 + delayShare);
+    this.unproven = true;
+    // One more failure after the pause is enough for the next one.
+    this.strikes = AVOID_STRIKES / 2;
+  }
 }
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -18,6 +18,10 @@
 // Before the first answer, half of the latency objective is expected.
 const FIRST_BASELINE_SHARE = 0.5;
 
+// Rejections and dead connections depend on the load and the connections of
+// this instance; the other signs hold for every instance.
+const TOLD_SIGNS: ReadonlySet<FailureSign> = new Set(['fault', 'error-status']);
+
 export class ServiceState {
   readonly records: ServerRecord[] = [];
   private typicalMs: number | undefined;
@@ -56,7 +60,7 @@
   }
 
   failed(record: ServerRecord, sign: FailureSign, reason: string): void {
-    if (sign !== 'rejected') this.options.onFailure(record.serverId);
+    if (TOLD_SIGNS.has(sign)) this.options.onFailure(record.serverId);
     this.judge(record, sign, reason);
   }
 
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -246,6 +246,30 @@
     expect(ids).toEqual(['r1', 'r2']);
   });
 
+  it('does not avoid a server that dropped an idle connection', async () => {
+    let dropsIdle = true;
+    await start(request => {
+      const kept = request.socket.bytesRead > request.head.length + 4;
+      if (kept && dropsIdle) request.socket.resetAndDestroy();
+      else good(request);
+    }, good);
+    await run();
+    expect(bodyOf(await run())).toEqual('good');
+    expect(servers[1]!.received.length).toEqual(1);
+    dropsIdle = false;
+    expect(bodyOf(await run())).toEqual('good');
+    expect(servers[0]!.received.length).toEqual(3);
+  });
+
+  it('sends one-time requests on connections that were not idle', async () => {
+    await start(good);
+    await run({repeatable: false});
+    await new Promise(resolve => setTimeout(resolve, 300));
+    await run({repeatable: false});
+    const sockets = servers[0]!.received.map(request => request.socket);
+    expect(new Set(sockets).size).toEqual(2);
+  });
+
   it('tells "not run" only when no byte left', async () => {
     await start(good);
     servers[0]!.stop();
--- /dev/null
+++ b/packages/upstream/src/test/server-record_test.ts
@@ -0,0 +1,136 @@
+/**
+ * Guards against gray servers that cost a request at every instance and every
+ * trial, and against sound servers that are avoided for a dead connection.
+ */
+import type {CatalogServer} from '@fireflytrack/discovery';
+import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
+import {expect} from 'earl';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {ServerPicker} from '../lib/server-picker.js';
+import type {PickOptions} from '../lib/server-picker.js';
+import {ServerRecord} from '../lib/server-record.js';
+
+const FIRST_PAUSE_MS = 2500;
+const SECOND_PAUSE_MS = 4000;
+
+function serverIn(serverId: string, availabilityZone: string): CatalogServer {
+  return {
+    report: {
+      serverId,
+      startedAtMs: 1,
+      host: '127.0.0.1',
+      port: 9,
+      service: 'counting',
+      availabilityZone,
+      softwareVersion: 'v1',
+      slots: 4,
+      state: 'ready',
+      warmupLeftMs: 0,
+    },
+    warmUntilMs: 0,
+    seenAtMs: 0,
+  };
+}
+
+describe('server record', () => {
+  let clock: Clock;
+  beforeEach(() => {
+    clock = FakeTimers.install({toFake: ['performance']});
+    clock.tick(60_000);
+  });
+  afterEach(() => clock.uninstall());
+
+  function recordIn(zone: string, random = 0): ServerRecord {
+    const server = serverIn(`in-${zone}`, zone);
+    return ServerRecord.create(
+      server,
+      () => 10,
+      () => random,
+    );
+  }
+
+  function isAvoided(record: ServerRecord): boolean {
+    return record.isAvoided(performance.now());
+  }
+
+  it('is on trial after the pause until it answers well', () => {
+    const record = recordIn('z1');
+    record.failed('error-status');
+    clock.tick(FIRST_PAUSE_MS - 1);
+    expect(isAvoided(record)).toEqual(true);
+    clock.tick(1);
+    expect(isAvoided(record)).toEqual(false);
+    expect(record.isOnTrial(performance.now())).toEqual(true);
+    record.succeeded();
+    expect(record.isOnTrial(performance.now())).toEqual(false);
+  });
+
+  it('takes failures of one moment for one failure', () => {
+    const record = recordIn('z1');
+    record.failed('error-status');
+    clock.tick(100);
+    record.failed('error-status');
+    record.failed('reported');
+    clock.tick(FIRST_PAUSE_MS - 100);
+    expect(isAvoided(record)).toEqual(false);
+  });
+
+  it('pauses longer when the trial of another instance failed', () => {
+    const record = recordIn('z1');
+    record.failed('reported');
+    clock.tick(FIRST_PAUSE_MS);
+    expect(isAvoided(record)).toEqual(true);
+    record.failed('reported');
+    clock.tick(SECOND_PAUSE_MS);
+    expect(isAvoided(record)).toEqual(true);
+  });
+
+  it('comes back later where the failure was only reported', () => {
+    const seen = recordIn('z1');
+    const told = recordIn('z1');
+    seen.failed('fault');
+    told.failed('reported');
+    expect(told.avoidedUntilMs > seen.avoidedUntilMs).toEqual(true);
+  });
+
+  it('is not avoided for one dead connection', () => {
+    const record = recordIn('z1');
+    record.failed('stale-connection');
+    expect(isAvoided(record)).toEqual(false);
+    expect(record.trustsIdleConnections(performance.now())).toEqual(false);
+  });
+
+  describe('picker', () => {
+    const options: PickOptions = {
+      targetLatencyMs: 1000,
+      baselineMs: 300,
+      tried: new Set(),
+      isRepeat: false,
+    };
+    const picker = ServerPicker.create(
+      {availabilityZone: 'z1', region: 'r1'},
+      zone => (zone === 'z1' ? 'r1' : 'r2'),
+      () => 0.5,
+    );
+
+    it('sends one request at a time to a server on trial', () => {
+      const near = recordIn('z1');
+      const far = recordIn('z2');
+      near.failed('error-status');
+      clock.tick(FIRST_PAUSE_MS);
+      expect(picker.pick([near, far], options)).toEqual(near);
+      near.inFlight = 1;
+      expect(picker.pick([near, far], options)).toEqual(far);
+    });
+
+    it('spares the last chance of a request the server on trial', () => {
+      const near = recordIn('z1');
+      const far = recordIn('z2');
+      near.failed('error-status');
+      clock.tick(FIRST_PAUSE_MS);
+      const pick = picker.pick([near, far], {...options, isRepeat: true});
+      expect(pick).toEqual(far);
+    });
+  });
+});
--- a/packages/zone/src/lib/zone-buckets.ts
+++ b/packages/zone/src/lib/zone-buckets.ts
@@ -8,11 +8,9 @@
 import type {TeamPolicy} from '@fireflytrack/policy';
 
 export interface RateBounds {
-  /** Span over which the rate of a team is judged. */
-  windowMs: number;
-  /** Share by which a team may pass its rate and burst in one window. */
+  /** Share by which a team may pass its rate and burst. */
   overrun: number;
-  /** Requests by which it may pass them beside that. */
+  /** Requests by which it may pass them beside that in one window. */
   slack: number;
 }
 
@@ -22,10 +20,10 @@
 }
 
 const MS_PER_SECOND = 1000;
-// Part of the room above the rate that a full bucket holds, and part of it that
+// Part of the room beside the rate that a full bucket holds, and part of it that
 // a new leader begins with. The rest covers leaders that act while they are
 // being replaced.
-const USED_SHARE = 0.8;
+const USED_SHARE = 0.75;
 const FIRST_SHARE = 0.12;
 
 export class ZoneBuckets {
@@ -86,8 +84,13 @@
     return bucket;
   }
 
+  /**
+   * The zone's part of the rate with its tolerated overrun: tokens lie with
+   * several leaders, and a team within its rate must not be refused for that.
+   */
   private ratePerMs(team: TeamPolicy): number {
-    return team.ratePerSecond / MS_PER_SECOND / this.zoneCount();
+    const perSecond = team.ratePerSecond * (1 + this.bounds.overrun);
+    return perSecond / MS_PER_SECOND / this.zoneCount();
   }
 
   private depth(team: TeamPolicy): number {
@@ -98,11 +101,9 @@
     return (this.room(team) * FIRST_SHARE) / this.zoneCount();
   }
 
-  /** Requests above the rate that the fleet may admit in one window. */
+  /** Requests beside the rate that the fleet may admit in one window. */
   private room(team: TeamPolicy): number {
-    const {windowMs, overrun, slack} = this.bounds;
-    const perWindow = (team.ratePerSecond * windowMs) / MS_PER_SECOND;
-    const spare = (perWindow + team.burstTokens) * overrun + slack;
-    return team.burstTokens + spare;
+    const {overrun, slack} = this.bounds;
+    return team.burstTokens * (1 + overrun) + slack;
   }
 }
--- a/packages/zone/src/test/zone-buckets_test.ts
+++ b/packages/zone/src/test/zone-buckets_test.ts
@@ -5,7 +5,8 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {ZoneBuckets} from '../lib/zone-buckets.js';
 
-const BOUNDS = {windowMs: 5000, overrun: 0.1, slack: 20};
+const BOUNDS = {overrun: 0.1, slack: 20};
+const WINDOW_MS = 5000;
 const ZONES = 6;
 const STEP_MS = 50;
 
@@ -36,7 +37,7 @@
       admitted.push(taken);
       clock.tick(STEP_MS);
     }
-    const span = BOUNDS.windowMs / STEP_MS;
+    const span = WINDOW_MS / STEP_MS;
     let worst = 0;
     for (let end = span; end <= admitted.length; end += 1) {
       const sum = admitted.slice(end - span, end).reduce((a, b) => a + b, 0);
@@ -48,7 +49,7 @@
   for (const ratePerSecond of [2, 8, 32, 200]) {
     const burstTokens = ratePerSecond;
     const team = {name: 't', keyDigests: [], ratePerSecond, burstTokens};
-    const perWindow = (ratePerSecond * BOUNDS.windowMs) / 1000 + burstTokens;
+    const perWindow = (ratePerSecond * WINDOW_MS) / 1000 + burstTokens;
     const most = perWindow * (1 + BOUNDS.overrun) + BOUNDS.slack;
 
     it(`hold a rate of ${ratePerSecond} over the fleet after a quiet time`, () => {
@@ -67,6 +68,42 @@
     });
   }
 
+  // Guards against refusals that the operator does not ask for: a team a little
+  // over its rate lost a third of its requests when the tolerated overrun was
+  // used up once and not again.
+  it('serve a team within the tolerated overrun as its callers move', () => {
+    const team = {
+      name: 't',
+      keyDigests: [],
+      ratePerSecond: 6,
+      burstTokens: 6,
+    };
+    const buckets = zones();
+    clock.tick(10_000);
+    let refused = 0;
+    let asked = 0;
+    for (let step = 0; step < 600; step += 1) {
+      // 6.5 requests a second, each second in another zone.
+      const second = Math.floor(step / 20);
+      const near = buckets[second % ZONES]!;
+      const isExtra = step % 20 === 13 && second % 2 === 0;
+      if ((step % 2 === 0 && step % 20 < 12) || isExtra) {
+        asked += 1;
+        const lenders = buckets.filter(bucket => bucket !== near);
+        let admitted = near.tryTake(team);
+        for (const lender of lenders) {
+          if (admitted) break;
+          near.add(team, lender.lend(team, 4));
+          admitted = near.tryTake(team);
+        }
+        if (!admitted) refused += 1;
+      }
+      clock.tick(STEP_MS);
+    }
+    expect(asked > 150).toEqual(true);
+    expect(refused).toEqual(0);
+  });
+
   it('lends what another zone takes, and not twice', () => {
     const team = {
       name: 't',
