--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -180,16 +180,18 @@
     const {state} = this.shared;
     const {serverId} = record;
     const {status} = answer;
+    const {targetLatencyMs} = this.options;
+    const latencyMs = performance.now() - startedAtMs;
     if (status < FIRST_SERVER_ERROR && !NOT_RUN_STATUSES.has(status)) {
-      const latencyMs = performance.now() - startedAtMs;
-      state.answered(record, latencyMs, this.options.targetLatencyMs);
+      state.answered(record, latencyMs, targetLatencyMs);
       record.succeeded();
       const attempts = this.allReports();
       return {kind: 'answered', answer, serverId, attempts};
     }
     this.mayHaveRun = true;
     this.lastReason = `server answered ${status}`;
-    state.failed(record, 'error-status', this.lastReason);
+    const sign = state.errorSign(latencyMs, targetLatencyMs);
+    state.failed(record, sign, this.lastReason);
     // The server promised nothing with these, so the caller must not read a
     // promise into them either.
     if (answer.kind === 'streamed') answer.body.destroy();
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -21,9 +21,12 @@
 // Failures within this time of the first belong to requests that were under way
 // when the server began to fail, and say nothing new.
 const SAME_FAILURE_MS = 1200;
-// Strikes at which a server is avoided. One failed status is enough: sound
-// servers fail about one request in a hundred, gray ones most of them.
+// Strikes at which a server is avoided. One error at once is enough: gray servers
+// answer most requests so, sound ones hardly any.
 const AVOID_STRIKES = 1;
+// Good answers that end a trial. A gray server still answers a tenth to a
+// quarter of its requests well.
+const TRIAL_SUCCESSES = 2;
 const STRIKES_FORGIVEN_PER_SUCCESS = 0.25;
 // After a kept connection turned out to be dead, the others that were idle are
 // not trusted for this long.
@@ -32,8 +35,10 @@
 export type FailureSign =
   /** Reset, hang, broken or foreign answer. */
   | 'fault'
-  /** A whole answer that reports a server error. */
+  /** A whole answer that reports a server error at once. */
   | 'error-status'
+  /** The same after the usual time of work, so that the request may be at fault. */
+  | 'late-error-status'
   /** Another instance saw a fault or an error status. */
   | 'reported'
   /** The server is full and did not run the request. */
@@ -44,6 +49,7 @@
 const STRIKES: Record<FailureSign, number> = {
   fault: 1,
   'error-status': 1,
+  'late-error-status': 0.4,
   reported: 1,
   rejected: 0.5,
   'stale-connection': 0.25,
@@ -56,7 +62,8 @@
   private avoidances = 0;
   private avoidedAtMs = -Infinity;
   private avoidUntilMs = 0;
-  private unproven = false;
+  /** Good answers that are missing to the end of the trial. */
+  private missingSuccesses = 0;
   private distrustIdleUntilMs = 0;
 
   private constructor(
@@ -83,9 +90,9 @@
     return nowMs < this.avoidUntilMs;
   }
 
-  /** Whether it was avoided and has not answered well since. */
+  /** Whether it was avoided and has not answered well enough since. */
   isOnTrial(nowMs: number): boolean {
-    return this.unproven && !this.isAvoided(nowMs);
+    return this.missingSuccesses > 0 && !this.isAvoided(nowMs);
   }
 
   isWarm(nowMs: number): boolean {
@@ -105,7 +112,7 @@
   succeeded(): void {
     this.strikes = Math.max(0, this.strikes - STRIKES_FORGIVEN_PER_SUCCESS);
     // An answer to a request from before the failure proves nothing.
-    if (!this.isAvoided(performance.now())) this.unproven = false;
+    if (this.isOnTrial(performance.now())) this.missingSuccesses -= 1;
     if (this.strikes === 0) this.avoidances = 0;
   }
 
@@ -144,7 +151,7 @@
     this.avoidances += 1;
     this.avoidedAtMs = nowMs;
     this.avoidUntilMs = nowMs + pauseMs * (1 + delayShare);
-    this.unproven = true;
+    this.missingSuccesses = TRIAL_SUCCESSES;
     // One more failure after the pause is enough for the next one.
     this.strikes = AVOID_STRIKES / 2;
   }
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -18,6 +18,9 @@
 // Before the first answer, half of the latency objective is expected.
 const FIRST_BASELINE_SHARE = 0.5;
 
+// An error after this part of the typical latency or more comes from a server
+// that worked on the request; those of gray servers come within milliseconds.
+const LATE_ERROR_SHARE = 0.3;
 // Rejections and dead connections depend on the load and the connections of
 // this instance; the other signs hold for every instance.
 const TOLD_SIGNS: ReadonlySet<FailureSign> = new Set(['fault', 'error-status']);
@@ -60,8 +63,15 @@
   }
 
   failed(record: ServerRecord, sign: FailureSign, reason: string): void {
-    if (TOLD_SIGNS.has(sign)) this.options.onFailure(record.serverId);
-    this.judge(record, sign, reason);
+    const isNews = this.judge(record, sign, reason);
+    if (isNews && TOLD_SIGNS.has(sign)) this.options.onFailure(record.serverId);
+  }
+
+  /** The sign of a whole answer that reports a server error. */
+  errorSign(latencyMs: number, targetLatencyMs: number): FailureSign {
+    const typicalMs = this.baselineMs(targetLatencyMs);
+    const isLate = latencyMs >= typicalMs * LATE_ERROR_SHARE;
+    return isLate ? 'late-error-status' : 'error-status';
   }
 
   /** Another instance saw the server fail. */
@@ -70,8 +80,13 @@
     if (record) this.judge(record, 'reported', 'another instance reported it');
   }
 
-  private judge(record: ServerRecord, sign: FailureSign, reason: string): void {
-    if (!record.failed(sign)) return;
+  /** Returns whether the server is avoided from now on, or for longer. */
+  private judge(
+    record: ServerRecord,
+    sign: FailureSign,
+    reason: string,
+  ): boolean {
+    if (!record.failed(sign)) return false;
     const {name, logger} = this.options;
     logger.info('server avoided', {
       service: name,
@@ -81,6 +96,7 @@
       forMs: Math.round(record.avoidedUntilMs - performance.now()),
     });
     this.keepFloor();
+    return true;
   }
 
   describe(): unknown {
--- a/packages/upstream/src/test/server-record_test.ts
+++ b/packages/upstream/src/test/server-record_test.ts
@@ -63,9 +63,29 @@
     expect(isAvoided(record)).toEqual(false);
     expect(record.isOnTrial(performance.now())).toEqual(true);
     record.succeeded();
+    expect(record.isOnTrial(performance.now())).toEqual(true);
+    record.succeeded();
     expect(record.isOnTrial(performance.now())).toEqual(false);
   });
 
+  it('does not prove itself by answers to requests from before', () => {
+    const record = recordIn('z1');
+    record.failed('error-status');
+    record.succeeded();
+    record.succeeded();
+    clock.tick(FIRST_PAUSE_MS);
+    expect(record.isOnTrial(performance.now())).toEqual(true);
+  });
+
+  it('is not avoided for one error after the usual time of work', () => {
+    const record = recordIn('z1');
+    record.failed('late-error-status');
+    expect(isAvoided(record)).toEqual(false);
+    record.failed('late-error-status');
+    record.failed('late-error-status');
+    expect(isAvoided(record)).toEqual(true);
+  });
+
   it('takes failures of one moment for one failure', () => {
     const record = recordIn('z1');
     record.failed('error-status');
