--- a/packages/gateway/src/lib/caller-body.ts
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -6,14 +6,33 @@
 export type BodyResult =
   | {kind: 'read'; body: RequestBody}
   | {kind: 'too-large'}
+  | {kind: 'too-slow'}
   | {kind: 'abandoned'};
 
 // Bodies up to this size can be sent again to another server.
 const HOLD_BYTES = 1_048_576;
 
+/** Reads the body until `deadlineAtMs` of the monotonic clock. */
 export async function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  deadlineAtMs: number,
+): Promise<BodyResult> {
+  const waitMs = Math.max(0, deadlineAtMs - performance.now());
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<BodyResult>(resolve => {
+    timer = setTimeout(() => resolve({kind: 'too-slow'}), waitMs);
+  });
+  try {
+    return await Promise.race([readHeld(request, maxBytes), late]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function readHeld(
+  request: IncomingMessage,
+  maxBytes: number,
 ): Promise<BodyResult> {
   const {headers} = request;
   const length = headers['content-length'];
--- a/packages/gateway/src/lib/gateway-path.ts
+++ b/packages/gateway/src/lib/gateway-path.ts
@@ -146,10 +146,16 @@
     const read = await readBody(
       request,
       table.policy.callerLimits.maxBodyBytes,
+      deadlineAtMs,
     );
     if (read.kind === 'too-large') {
       return {code: 'body-too-large', reason: 'body over the limit'};
     }
+    if (read.kind === 'too-slow') {
+      // The rest of the body stands between this request and the next.
+      call.response.shouldKeepAlive = false;
+      return {code: 'body-too-slow', reason: 'the body took too long'};
+    }
     if (read.kind === 'abandoned') return {kind: 'abandoned', attempts: []};
     const limited = await this.takeRate(team);
     if (limited) return limited;
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -122,8 +122,7 @@
       connectionLimitOf: service =>
         this.policies.current()?.service(service)?.maxConnectionsPerServer,
       floorShare: promises.floor_share,
-      onFailure: (serverId, service) =>
-        this.zone.reportFailure({serverId, service}),
+      onFailure: failure => this.zone.reportFailure(failure),
       logger,
     });
     this.catalog = ServerCatalog.create(
--- a/packages/gateway/src/lib/rejection.ts
+++ b/packages/gateway/src/lib/rejection.ts
@@ -5,6 +5,7 @@
   | 'key-unknown'
   | 'route-unknown'
   | 'body-too-large'
+  | 'body-too-slow'
   | 'headers-too-large'
   | 'over-rate'
   | 'not-run'
@@ -23,6 +24,7 @@
   'bad-request': 400,
   'key-unknown': 401,
   'route-unknown': 404,
+  'body-too-slow': 408,
   'body-too-large': 413,
   'over-rate': 429,
   'headers-too-large': 431,
--- a/packages/upstream/src/lib/repeat-budget.ts
+++ b/packages/upstream/src/lib/repeat-budget.ts
@@ -35,9 +35,10 @@
     this.add(USED_SHARE * this.options.ratio);
   }
 
-  tryTake(): boolean {
+  /** Takes one repeat if as many as `reserve` remain for others. */
+  tryTake(reserve = 0): boolean {
     this.refill();
-    if (this.tokens < 1) return false;
+    if (this.tokens < 1 + reserve) return false;
     this.tokens -= 1;
     return true;
   }
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -78,6 +78,9 @@
 // latency objective, or than this multiple of the typical latency.
 const HEDGE_OBJECTIVE_SHARE = 0.5;
 const HEDGE_TYPICAL_FACTOR = 2;
+// A second attempt beside a slow one leaves this much of the budget to requests
+// that failed: most slow requests end by themselves.
+const HEDGE_RESERVE = 0.8;
 const FIRST_SERVER_ERROR = 500;
 // A kept connection may be dead without notice, and a non-idempotent request
 // that is lost on one cannot be repeated; a new one costs a round trip.
@@ -131,7 +134,7 @@
       case 'deadline':
         return this.conclude('deadline passed');
       case 'slow':
-        this.startRepeat();
+        this.startRepeat(HEDGE_RESERVE);
         return undefined;
       case 'finished':
         return this.finished(event.finished);
@@ -226,11 +229,12 @@
     return [...this.running].some(({attempt}) => attempt.wasSent);
   }
 
-  private startRepeat(): void {
+  /** Repeats the request if the budget keeps `reserve` for others. */
+  private startRepeat(reserve = 0): void {
     const {maxAttempts, request} = this.options;
     if (this.sentAttempts >= maxAttempts) return;
     if (request.body.kind === 'stream') return;
-    if (!this.shared.state.budget.tryTake()) {
+    if (!this.shared.state.budget.tryTake(reserve)) {
       this.lastReason += '; no repeat left in the budget';
       return;
     }
--- a/packages/upstream/src/lib/server-picker.ts
+++ b/packages/upstream/src/lib/server-picker.ts
@@ -26,9 +26,10 @@
 // An avoided server is chosen only when there is no other.
 const AVOIDED_PENALTY = 20;
 const TRIED_PENALTY = 10;
-// A server on trial is no place for a request's last chance, nor for more than
-// one request at a time.
-const TRIAL_PENALTY = 10;
+// A server on trial is no place for a request's last chance. It should get one
+// request at a time, unless the way to another one is long.
+const TRIAL_REPEAT_PENALTY = 10;
+const TRIAL_BUSY_PENALTY = 1;
 // A server that has just started takes about twice as long.
 const COLD_FACTOR = 2;
 // Half-width of the random factor that spreads requests over equal servers.
@@ -80,12 +81,15 @@
     let penalty = this.distancePenalty(record);
     if (record.isAvoided(nowMs)) penalty += AVOIDED_PENALTY;
     if (tried.has(record)) penalty += TRIED_PENALTY;
-    const isBusyOrRepeat = record.inFlight > 0 || options.isRepeat;
-    if (isBusyOrRepeat && record.isOnTrial(nowMs)) penalty += TRIAL_PENALTY;
+    if (record.isOnTrial(nowMs)) {
+      if (options.isRepeat) penalty += TRIAL_REPEAT_PENALTY;
+      else if (record.inFlight > 0) penalty += TRIAL_BUSY_PENALTY;
+    }
     return expectedMs * spread + penalty * targetLatencyMs;
   }
 
-  private distancePenalty(record: ServerRecord): number {
+  /** Latency that the way to the server is worth, in latency objectives. */
+  distancePenalty(record: ServerRecord): number {
     const zone = record.server.report.availabilityZone;
     if (zone === this.own.availabilityZone) return 0;
     return this.regionOf(zone) === this.own.region
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -11,7 +11,7 @@
 
 // Pauses after the first failures; each further one lasts longer. Gray phases
 // last 5 to 12 s, and each trial within one costs a request.
-const FIRST_AVOID_MS = 2500;
+const FIRST_AVOID_MS = 1800;
 const AVOID_GROWTH = 1.6;
 const MAX_AVOID_MS = 6000;
 // An instance that was told of a failure comes back later than the one that
@@ -24,9 +24,6 @@
 // Strikes at which a server is avoided. One error at once is enough: gray servers
 // answer most requests so, sound ones hardly any.
 const AVOID_STRIKES = 1;
-// Good answers that end a trial. A gray server still answers a tenth to a
-// quarter of its requests well.
-const TRIAL_SUCCESSES = 2;
 const STRIKES_FORGIVEN_PER_SUCCESS = 0.25;
 // After a kept connection turned out to be dead, the others that were idle are
 // not trusted for this long.
@@ -62,8 +59,8 @@
   private avoidances = 0;
   private avoidedAtMs = -Infinity;
   private avoidUntilMs = 0;
-  /** Good answers that are missing to the end of the trial. */
-  private missingSuccesses = 0;
+  private unproven = false;
+  private hasFailedTrial = false;
   private distrustIdleUntilMs = 0;
 
   private constructor(
@@ -90,9 +87,9 @@
     return nowMs < this.avoidUntilMs;
   }
 
-  /** Whether it was avoided and has not answered well enough since. */
+  /** Whether it was avoided and has not answered well since. */
   isOnTrial(nowMs: number): boolean {
-    return this.missingSuccesses > 0 && !this.isAvoided(nowMs);
+    return this.unproven && !this.isAvoided(nowMs);
   }
 
   isWarm(nowMs: number): boolean {
@@ -104,6 +101,11 @@
     return nowMs >= this.distrustIdleUntilMs;
   }
 
+  /** Whether it is avoided because a trial failed, too. */
+  isConfirmedFailing(nowMs: number): boolean {
+    return this.isAvoided(nowMs) && this.hasFailedTrial;
+  }
+
   /** Monotonic time at which the avoidance ends. */
   get avoidedUntilMs(): number {
     return this.avoidUntilMs;
@@ -112,7 +114,10 @@
   succeeded(): void {
     this.strikes = Math.max(0, this.strikes - STRIKES_FORGIVEN_PER_SUCCESS);
     // An answer to a request from before the failure proves nothing.
-    if (this.isOnTrial(performance.now())) this.missingSuccesses -= 1;
+    if (!this.isAvoided(performance.now())) {
+      this.unproven = false;
+      this.hasFailedTrial = false;
+    }
     if (this.strikes === 0) this.avoidances = 0;
   }
 
@@ -148,10 +153,11 @@
         ? REPORTED_DELAY_MIN +
           (REPORTED_DELAY_MAX - REPORTED_DELAY_MIN) * this.random()
         : 0;
+    this.hasFailedTrial ||= this.unproven && sign !== 'rejected';
     this.avoidances += 1;
     this.avoidedAtMs = nowMs;
     this.avoidUntilMs = nowMs + pauseMs * (1 + delayShare);
-    this.missingSuccesses = TRIAL_SUCCESSES;
+    this.unproven = true;
     // One more failure after the pause is enough for the next one.
     this.strikes = AVOID_STRIKES / 2;
   }
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -8,8 +8,10 @@
   budget: RepeatBudget;
   /** Share of the servers that stays in use whatever they do. */
   floorShare: number;
-  /** A server failed a request of this instance. */
-  onFailure(serverId: string): void;
+  /** How far a server is; larger is farther. */
+  distanceOf(record: ServerRecord): number;
+  /** A server failed a request of this instance and is avoided for it. */
+  onFailure(serverId: string, failedTrial: boolean): void;
   logger: Logger;
 }
 
@@ -21,6 +23,9 @@
 // An error after this part of the typical latency or more comes from a server
 // that worked on the request; those of gray servers come within milliseconds.
 const LATE_ERROR_SHARE = 0.3;
+// Beyond this share of a service, failures are more likely to lie with the
+// requests or the paths than with the servers.
+const MAX_AVOIDED_SHARE = 0.5;
 // Rejections and dead connections depend on the load and the connections of
 // this instance; the other signs hold for every instance.
 const TOLD_SIGNS: ReadonlySet<FailureSign> = new Set(['fault', 'error-status']);
@@ -64,7 +69,9 @@
 
   failed(record: ServerRecord, sign: FailureSign, reason: string): void {
     const isNews = this.judge(record, sign, reason);
-    if (isNews && TOLD_SIGNS.has(sign)) this.options.onFailure(record.serverId);
+    if (!isNews || !TOLD_SIGNS.has(sign)) return;
+    const failedTrial = record.isConfirmedFailing(performance.now());
+    this.options.onFailure(record.serverId, failedTrial);
   }
 
   /** The sign of a whole answer that reports a server error. */
@@ -112,14 +119,40 @@
     };
   }
 
-  /** Takes servers back, the earliest avoided first, until the floor holds. */
+  /**
+   * Takes servers back until the floor holds. It is a share of the servers that
+   * may be sound: those that failed a trial as well are left out, unless too
+   * few others remain.
+   */
   private keepFloor(): void {
     const nowMs = performance.now();
     const avoided = this.records.filter(record => record.isAvoided(nowMs));
-    const {floorShare} = this.options;
-    const most = Math.floor(this.records.length * (1 - floorShare));
-    avoided.sort((one, other) => one.avoidedUntilMs - other.avoidedUntilMs);
-    const excess = Math.max(0, avoided.length - Math.max(1, most));
+    const failing = avoided.filter(record => record.isConfirmedFailing(nowMs));
+    const suspected = avoided.filter(record => !failing.includes(record));
+    const maybeSound = this.records.length - failing.length;
+    const mostSuspected = Math.max(
+      1,
+      Math.floor(maybeSound * (1 - this.options.floorShare)),
+    );
+    this.readmitBeyond(mostSuspected, suspected);
+    const mostAvoided = Math.floor(this.records.length * MAX_AVOIDED_SHARE);
+    const kept = Math.min(suspected.length, mostSuspected);
+    this.readmitBeyond(Math.max(0, mostAvoided - kept), failing);
+  }
+
+  /**
+   * Takes back all but `most` of the servers: the farthest first, since other
+   * instances are nearer to them and know them better, then the earliest
+   * avoided.
+   */
+  private readmitBeyond(most: number, avoided: ServerRecord[]): void {
+    const {distanceOf} = this.options;
+    avoided.sort(
+      (one, other) =>
+        distanceOf(other) - distanceOf(one) ||
+        one.avoidedUntilMs - other.avoidedUntilMs,
+    );
+    const excess = Math.max(0, avoided.length - most);
     for (const record of avoided.slice(0, excess)) record.readmit();
   }
 }
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -14,6 +14,13 @@
 import {ServerRecord} from './server-record.js';
 import {ServiceState} from './service-state.js';
 
+export interface ObservedFailure {
+  serverId: string;
+  service: string;
+  /** The server had failed before, and failed its trial too. */
+  failedTrial: boolean;
+}
+
 export interface UpstreamOptions {
   own: Location;
   regionOf(availabilityZone: string): string | undefined;
@@ -23,8 +30,8 @@
   connectionLimitOf(service: string): number | undefined;
   /** Share of a service's servers that stays in use. */
   floorShare: number;
-  /** A server failed a request of this instance. */
-  onFailure(serverId: string, service: string): void;
+  /** A server failed a request of this instance and is avoided for it. */
+  onFailure(failure: ObservedFailure): void;
   logger: Logger;
 }
 
@@ -115,7 +122,9 @@
         name,
         budget,
         floorShare,
-        onFailure: serverId => onFailure(serverId, name),
+        distanceOf: record => this.picker.distancePenalty(record),
+        onFailure: (serverId, failedTrial) =>
+          onFailure({serverId, service: name, failedTrial}),
         logger,
       });
       this.services.set(name, state);
--- /dev/null
+++ b/packages/upstream/src/testing/catalog-server.ts
@@ -0,0 +1,24 @@
+/** Backend servers as the catalog lists them, for tests that need no network. */
+import type {CatalogServer} from '@fireflytrack/discovery';
+
+export function serverIn(
+  serverId: string,
+  availabilityZone: string,
+): CatalogServer {
+  return {
+    report: {
+      serverId,
+      startedAtMs: 1,
+      host: '127.0.0.1',
+      port: 9,
+      service: 'counting',
+      availabilityZone,
+      softwareVersion: 'v1',
+      slots: 4,
+      state: 'ready',
+      warmupLeftMs: 0,
+    },
+    warmUntilMs: 0,
+    seenAtMs: 0,
+  };
+}
