--- a/packages/gateway/src/testing/settings-text.ts
+++ b/packages/gateway/src/testing/settings-text.ts
@@ -1,6 +1,8 @@
 /** Settings of a gateway process for tests. */
 
 export interface SettingsChange {
+  instanceId?: string;
+  availabilityZone?: string;
   port?: number;
   readyPort?: number;
   peerPort?: number;
@@ -13,11 +15,12 @@
 
 export function settingsText(change: SettingsChange): string {
   const {port = 1, readyPort = 2, peerPort = 3, storePort = 4} = change;
+  const zone = change.availabilityZone ?? 'nord-a';
   return `
 [instance]
-id = front-1
-availability_zone = nord-a
-region = nord
+id = ${change.instanceId ?? 'front-1'}
+availability_zone = ${zone}
+region = ${zone.split('-')[0]}
 zones = nord-a:nord, sud-a:sud
 max_instances = 4
 [entry]
--- a/packages/stand-ins/src/lib/child-process.ts
+++ b/packages/stand-ins/src/lib/child-process.ts
@@ -15,10 +15,15 @@
     });
   }
 
-  /** Starts `node script ...args`. */
-  static start(script: string, args: string[]): ChildProcess {
+  /** Starts `node script ...args` with `environment` beside the own one. */
+  static start(
+    script: string,
+    args: string[],
+    environment: NodeJS.ProcessEnv = {},
+  ): ChildProcess {
     const child = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...environment},
     });
     return new ChildProcess(child);
   }
