--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -86,7 +86,8 @@
 // that is lost on one cannot be repeated; a new one costs a round trip.
 const MAX_IDLE_REPEATABLE_MS = 60_000;
 const MAX_IDLE_ONCE_MS = 250;
-// Servers that drop idle connections early were seen to wait for 300 ms.
+// Used at servers that drop idle connections early, which they do after 300 ms
+// and more.
 const MAX_IDLE_DISTRUSTED_MS = 100;
 
 export class RequestRun {
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -2,8 +2,8 @@
  * What this process knows of one backend server: load, latency, failures.
  *
  * A server that fails is avoided for a while and is then on trial: until it
- * has answered well, only requests that could still be repeated, or one at a
- * time, are sent to it.
+ * answers a request well, it gets no repeats, and first attempts one at a time
+ * where another server is near.
  */
 import type {CatalogServer} from '@fireflytrack/discovery';
 import {LatencyEstimate} from './latency-estimate.js';
