Test kills before and after the dispatch of an order apart

Cause: the test killed the instance 40 ms after it sent the order, and on a busy machine that falls between the claim and the dispatch. The order then never runs and repeats are told 'outcome unknown', which the promises allow.

The kill now waits until a backend server has begun to run the order, so that 'exactly one' is the right bound; the kill between claim and dispatch is a case of its own, with at most one execution and no untrue 'not run'.

--- a/packages/proofs/src/test/process-once_test.ts
+++ b/packages/proofs/src/test/process-once_test.ts
@@ -70,7 +70,9 @@
   it('run once when the first instance is killed', async () => {
     const [first, second, third] = run.fleet.instances;
     const answer = run.order(third!, 'killed').catch(() => undefined);
-    await sleep(40);
+    // A kill between the claim and the dispatch is another case: then the order
+    // may never run.
+    await executionOf('killed');
     third!.process.signal('SIGKILL');
     await answer;
     for (const instance of [first!, second!]) {
@@ -79,4 +81,37 @@
     }
     expect((await run.executions()).get('killed')).toEqual(1);
   });
+
+  it('run at most once when an instance is killed while it claims', async () => {
+    const [first, second] = run.fleet.instances;
+    await run.fleet.controlPlatform({delayMs: 120});
+    const answer = run.order(second!, 'claimed').catch(() => undefined);
+    await sleep(40);
+    second!.process.signal('SIGKILL');
+    await answer;
+    await run.fleet.controlPlatform({delayMs: 0});
+    // The write of the killed instance may still take effect.
+    await sleep(200);
+    const repeats = [
+      await run.order(first!, 'claimed'),
+      await run.order(first!, 'claimed'),
+    ];
+    const executions = (await run.executions()).get('claimed') ?? 0;
+    expect(executions <= 1).toEqual(true);
+    for (const {code, outcome} of repeats) {
+      if (code === 'ok') expect(executions).toEqual(1);
+      if (executions === 1) expect(outcome).not.toEqual('not_run');
+    }
+  });
 });
+
+const EXECUTION_WAIT_MS = 5000;
+
+/** Waits until a backend server has begun to run the order. */
+async function executionOf(key: string): Promise<void> {
+  const boundAtMs = performance.now() + EXECUTION_WAIT_MS;
+  while (!(await run.executions()).has(key)) {
+    if (performance.now() > boundAtMs) throw new Error(`${key} did not run`);
+    await sleep(5);
+  }
+}
