Leave parts of libraries that are never called out of the bundle

Cause: restarts and idle memory are priced, and the bundle loaded body parsers, uploads, fetch, HTTP/2 and error texts in 40 languages that the gateway never calls.

Ruled out: a larger first semi-space (no difference beyond noise).

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -7,6 +7,45 @@
 const BUNDLE = 'target/fireflytrackd.bundle.cjs';
 const LOADER = 'target/fireflytrackd.cjs';
 
+// Parts of libraries that load at start but are never called by the gateway:
+// body parsers, uploads and static files of moleculer-web, the runner and the
+// reporters of moleculer, HTTP/2 of undici, metrics of the runtime and of
+// clusters, error texts of zod in other languages. They make up half of the
+// bundle, and each restart pays for loading them.
+const UNUSED_MODULES = [
+  /\/@fastify\/busboy\//,
+  /\/body-parser\//,
+  /\/serve-static\//,
+  /\/node-fetch\//,
+  /\/moleculer\/src\/runner\.js$/,
+  /\/undici\/lib\/dispatcher\/client-h2\.js$/,
+  /\/prom-client\/lib\/(cluster|defaultMetrics)\.js$/,
+  /\/zod\/v4\/locales\/index\.js$/,
+];
+const leaveOutUnused = {
+  name: 'leave-out-unused',
+  setup(build) {
+    build.onLoad({filter: /node_modules/}, ({path}) =>
+      UNUSED_MODULES.some(unused => unused.test(path))
+        ? {contents: 'module.exports = {};'}
+        : undefined,
+    );
+    // The index of undici also loads fetch, cookies, caches and mocks.
+    build.onResolve({filter: /^undici$/}, () => ({
+      path: 'undici',
+      namespace: 'undici-clients',
+    }));
+    build.onLoad({filter: /.*/, namespace: 'undici-clients'}, () => ({
+      contents: `
+        export {default as Client} from 'undici/lib/dispatcher/client.js';
+        export {default as Pool} from 'undici/lib/dispatcher/pool.js';
+        export {default as errors} from 'undici/lib/core/errors.js';
+      `,
+      resolveDir: '.',
+    }));
+  },
+};
+
 mkdirSync('target', {recursive: true});
 const result = await build({
   entryPoints: ['platform/src/main.ts'],
@@ -17,6 +56,8 @@
   outfile: BUNDLE,
   conditions: ['source'],
   minifySyntax: true,
+  minifyWhitespace: true,
+  plugins: [leaveOutUnused],
   logLevel: 'error',
   metafile: true,
   // ts-results is in a module format that cannot be bundled. The others are
