Pool the budget of repeats in each availability zone

Cause: each instance kept its own part of the fleet's allowance, about one repeat. Kept over a quiet time by 40 instances, these and the share of the requests pass the bound of a little used service whose servers all fail: a test with two requests an instance found more than the 76 repeats that the bound allows.

The leader of the zone now grants repeats against a sliding window. Ruled out: a smaller part for each instance (under one whole repeat, nobody could use it) and counting requests at the leaders (a message for each request).

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -113,12 +113,8 @@
       },
       regionOf: zone => instance.zones.get(zone),
       headerNames,
-      repeats: {
-        ratio: promises.repeat_ratio,
-        fleetAllowance: promises.repeat_allowance,
-        windowMs: promises.repeat_window_ms,
-        instances: () => this.instances,
-      },
+      repeatBudgetOf: service => this.zone.repeatBudgetOf(service),
+      instances: () => this.instances,
       connectionLimitOf: service =>
         this.policies.current()?.service(service)?.maxConnectionsPerServer,
       floorShare: promises.floor_share,
@@ -166,6 +162,12 @@
         overrun: promises.rate_overrun,
         slack: promises.rate_slack,
       },
+      repeatBounds: {
+        ratio: promises.repeat_ratio,
+        fleetAllowance: promises.repeat_allowance,
+        windowMs: promises.repeat_window_ms,
+        zones: instance.zones.size,
+      },
       teamOf: name => this.policies.current()?.team(name),
       relays: [
         {feed: policyFeed, relay: this.policies.relay},
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -8,6 +8,7 @@
 import {NOT_RUN_STATUSES} from './answer-rules.js';
 import {Attempt} from './attempt.js';
 import type {AttemptResult} from './attempt.js';
+import type {RepeatCause} from './repeat-budget.js';
 import type {ServerPicker} from './server-picker.js';
 import type {ServerRecord} from './server-record.js';
 import type {ServiceState} from './service-state.js';
@@ -68,6 +69,7 @@
 type Event =
   | {kind: 'finished'; finished: FinishedAttempt}
   | {kind: 'slow'}
+  | {kind: 'repeat'; granted: boolean}
   | {kind: 'deadline'}
   | {kind: 'abandoned'};
 
@@ -78,9 +80,6 @@
 // latency objective, or than this multiple of the typical latency.
 const HEDGE_OBJECTIVE_SHARE = 0.5;
 const HEDGE_TYPICAL_FACTOR = 2;
-// A second attempt beside a slow one leaves this much of the budget to requests
-// that failed: most slow requests end by themselves.
-const HEDGE_RESERVE = 0.8;
 const FIRST_SERVER_ERROR = 500;
 // A kept connection may be dead without notice, and a non-idempotent request
 // that is lost on one cannot be repeated; a new one costs a round trip.
@@ -99,6 +98,10 @@
   private unsentAttempts = 0;
   private mayHaveRun = false;
   private hedged = false;
+  /** A repeat that the budget was asked for. */
+  private asked: Promise<Event> | undefined;
+  /** An attempt failed while the budget was asked for a slow one. */
+  private failedMeanwhile = false;
   private lastReason = 'no server of the service is known';
   /** A whole answer that reports a server error, if nothing better comes. */
   private fallback: {answer: Answer; serverId: string} | undefined;
@@ -117,7 +120,7 @@
     try {
       this.startAttempt();
       for (;;) {
-        if (this.running.size === 0) return this.conclude();
+        if (this.running.size === 0 && !this.asked) return this.conclude();
         const event = await this.nextEvent(ended);
         const outcome = this.handle(event);
         if (outcome) return outcome;
@@ -135,7 +138,11 @@
       case 'deadline':
         return this.conclude('deadline passed');
       case 'slow':
-        this.startRepeat(HEDGE_RESERVE);
+        this.askRepeat('slowness');
+        return undefined;
+      case 'repeat':
+        this.asked = undefined;
+        this.repeatDecided(event.granted);
         return undefined;
       case 'finished':
         return this.finished(event.finished);
@@ -154,7 +161,7 @@
       case 'rejected':
         this.lastReason = result.reason;
         state.failed(record, 'rejected', result.reason);
-        this.startRepeat();
+        this.askRepeat('failure');
         return undefined;
       case 'not-sent':
         this.lastReason = result.reason;
@@ -171,7 +178,7 @@
           result.isStaleConnection ? 'stale-connection' : 'fault',
           result.reason,
         );
-        if (this.options.repeatable) this.startRepeat();
+        if (this.options.repeatable) this.askRepeat('failure');
         return undefined;
     }
   }
@@ -201,7 +208,7 @@
     if (answer.kind === 'streamed') answer.body.destroy();
     else if (!NOT_RUN_STATUSES.has(status))
       this.fallback ??= {answer, serverId};
-    if (this.options.repeatable) this.startRepeat();
+    if (this.options.repeatable) this.askRepeat('failure');
     return undefined;
   }
 
@@ -230,16 +237,27 @@
     return [...this.running].some(({attempt}) => attempt.wasSent);
   }
 
-  /** Repeats the request if the budget keeps `reserve` for others. */
-  private startRepeat(reserve = 0): void {
+  /** Asks the budget for one more attempt, unless it was asked already. */
+  private askRepeat(cause: RepeatCause): void {
     const {maxAttempts, request} = this.options;
     if (this.sentAttempts >= maxAttempts) return;
     if (request.body.kind === 'stream') return;
-    if (!this.shared.state.budget.tryTake(reserve)) {
-      this.lastReason += '; no repeat left in the budget';
+    if (this.asked) {
+      this.failedMeanwhile ||= cause === 'failure';
       return;
     }
-    this.startAttempt();
+    this.asked = this.shared.state.budget
+      .take(cause)
+      .then(granted => ({kind: 'repeat', granted}));
+  }
+
+  private repeatDecided(granted: boolean): void {
+    const {failedMeanwhile} = this;
+    this.failedMeanwhile = false;
+    if (granted) this.startAttempt();
+    // Failures may use more of the budget than slowness.
+    else if (failedMeanwhile) this.askRepeat('failure');
+    else this.lastReason += '; no repeat left in the budget';
   }
 
   private startAttempt(): void {
@@ -292,6 +310,7 @@
 
   private async nextEvent(ended: Promise<Event>): Promise<Event> {
     const waits: Promise<Event>[] = [ended];
+    if (this.asked) waits.push(this.asked);
     for (const {done} of this.running) {
       waits.push(done.then(finished => ({kind: 'finished', finished})));
     }
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -7,8 +7,7 @@
 import type {HeaderNames} from './answer-rules.js';
 import {RequestRun} from './request-run.js';
 import type {RunOptions, UpstreamOutcome} from './request-run.js';
-import {RepeatBudget} from './repeat-budget.js';
-import type {RepeatBudgetOptions} from './repeat-budget.js';
+import type {RepeatBudget} from './repeat-budget.js';
 import {ServerPicker} from './server-picker.js';
 import type {Location} from './server-picker.js';
 import {ServerRecord} from './server-record.js';
@@ -25,7 +24,9 @@
   own: Location;
   regionOf(availabilityZone: string): string | undefined;
   headerNames: HeaderNames;
-  repeats: RepeatBudgetOptions;
+  repeatBudgetOf(service: string): RepeatBudget;
+  /** Instances that may run now. */
+  instances(): number;
   /** Connections that a server of `service` accepts from all instances. */
   connectionLimitOf(service: string): number | undefined;
   /** Share of a service's servers that stays in use. */
@@ -109,18 +110,17 @@
   private shareOf(service: string): number {
     const limit =
       this.options.connectionLimitOf(service) ?? DEFAULT_CONNECTION_LIMIT;
-    const share = Math.floor(limit / this.options.repeats.instances());
+    const share = Math.floor(limit / this.options.instances());
     return Math.max(1, share);
   }
 
   private service(name: string): ServiceState {
     let state = this.services.get(name);
     if (!state) {
-      const {repeats, floorShare, onFailure, logger} = this.options;
-      const budget = RepeatBudget.create(repeats);
+      const {repeatBudgetOf, floorShare, onFailure, logger} = this.options;
       state = ServiceState.create({
         name,
-        budget,
+        budget: repeatBudgetOf(name),
         floorShare,
         distanceOf: record => this.picker.distancePenalty(record),
         onFailure: (serverId, failedTrial) =>
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -8,9 +8,14 @@
 import {ScriptedServer, answerTo} from '../testing/scripted-server.js';
 import type {Script} from '../testing/scripted-server.js';
 import {Upstream} from '../lib/upstream.js';
+import type {RepeatBudget} from '../lib/repeat-budget.js';
 import type {RunOptions, UpstreamOutcome} from '../lib/request-run.js';
 
 const SERVICE = 'counting';
+const UNLIMITED: RepeatBudget = {
+  requestArrived: () => {},
+  take: async () => true,
+};
 const HEADER_NAMES = {
   requestId: 'request-id',
   deadlineMs: 'deadline-ms',
@@ -41,12 +46,8 @@
       own: {availabilityZone: 'z1', region: 'r'},
       regionOf: () => 'r',
       headerNames: HEADER_NAMES,
-      repeats: {
-        ratio: 1,
-        fleetAllowance: 100,
-        windowMs: 1000,
-        instances: () => 1,
-      },
+      repeatBudgetOf: () => UNLIMITED,
+      instances: () => 1,
       connectionLimitOf: () => 10,
       floorShare: 0.7,
       onFailure: () => {},
--- a/packages/upstream/src/test/service-state_test.ts
+++ b/packages/upstream/src/test/service-state_test.ts
@@ -7,7 +7,6 @@
 import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'earl';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {RepeatBudget} from '../lib/repeat-budget.js';
 import {ServerRecord} from '../lib/server-record.js';
 import {ServiceState} from '../lib/service-state.js';
 import {serverIn} from '../testing/catalog-server.js';
@@ -27,12 +26,7 @@
     told = [];
     state = ServiceState.create({
       name: 'counting',
-      budget: RepeatBudget.create({
-        ratio: 0.2,
-        fleetAllowance: 60,
-        windowMs: 10_000,
-        instances: () => 1,
-      }),
+      budget: {requestArrived: () => {}, take: async () => true},
       floorShare: 0.7,
       distanceOf: record => (record.serverId.startsWith('near') ? 0 : 1),
       onFailure: (serverId, failedTrial) =>
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -8,6 +8,7 @@
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import type {TeamPolicy} from '@fireflytrack/policy';
 import type {Logger} from '@fireflytrack/telemetry';
+import type {RepeatBudget} from '@fireflytrack/upstream';
 import {TcpPeerNetwork} from '@fireflytrack/wire';
 import {secretIn, storeSecret} from './fleet-secret.js';
 import {FailureExchange} from './failure-exchange.js';
@@ -16,8 +17,10 @@
 import type {RelayedFeed} from './relayed-feed.js';
 import type {Leader} from './leader-row.js';
 import type {RateDecision, RateLimiter} from './rate-limiter.js';
+import type {RepeatBounds} from './repeat-ledger.js';
 import type {RateBounds} from './zone-buckets.js';
 import {ZoneElection} from './zone-election.js';
+import {ZoneRepeats} from './zone-repeats.js';
 import {
   LEADER_WAIT_MS,
   ZoneRateLimiter,
@@ -28,6 +31,7 @@
   self: Leader;
   table: TableService;
   rateBounds: RateBounds;
+  repeatBounds: RepeatBounds;
   teamOf(name: string): TeamPolicy | undefined;
   /** Feeds that the leader reads for the zone. */
   relays: RelayPair[];
@@ -53,9 +57,12 @@
   private election: ZoneElection | undefined;
   private limiter: ZoneRateLimiter | undefined;
   private failures: FailureExchange | undefined;
+  private readonly repeats: ZoneRepeats;
   private stopped = false;
 
-  private constructor(private readonly options: ZoneFleetOptions) {}
+  private constructor(private readonly options: ZoneFleetOptions) {
+    this.repeats = ZoneRepeats.create(options.repeatBounds);
+  }
 
   static create(options: ZoneFleetOptions): ZoneFleet {
     return new ZoneFleet(options);
@@ -88,6 +95,11 @@
     this.limiter?.giveBack(team);
   }
 
+  /** The budget of repeats at a service. */
+  repeatBudgetOf(service: string): RepeatBudget {
+    return this.repeats.budgetOf(service);
+  }
+
   /** Instances of the fleet; undefined before the zone was joined. */
   get instances(): number | undefined {
     const {election} = this;
@@ -127,7 +139,10 @@
       logger,
     });
     await network.start();
-    const onLead = () => this.limiter?.beginLead();
+    const onLead = () => {
+      this.limiter?.beginLead();
+      this.repeats.beginLead();
+    };
     const election = ZoneElection.create({
       self,
       table,
@@ -143,6 +158,7 @@
       network,
       teamOf,
     });
+    this.repeats.join({network, election});
     this.failures = FailureExchange.create({
       network,
       election,
