--- a/packages/cli/src/lib/command-line.ts
+++ b/packages/cli/src/lib/command-line.ts
@@ -96,7 +96,3 @@
   const message = `--${name}: expected a number from ${least}, found "${value}"`;
   throw new CommandFailure(message, EXIT_CODES.failed);
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/cli/src/lib/config-commands.ts
+++ b/packages/cli/src/lib/config-commands.ts
@@ -2,6 +2,7 @@
 import {createTwoFilesPatch} from 'diff';
 import {randomUUID} from 'node:crypto';
 import type {Sade} from 'sade';
+import {sleep} from '@fireflytrack/time';
 import type {AdminClient} from './admin-client.js';
 import {
   configSchema,
@@ -16,7 +17,6 @@
   failureOf,
   numberOption,
   print,
-  sleep,
 } from './command-line.js';
 import type {CommonOptions} from './command-line.js';
 import {EXIT_CODES} from './exit-codes.js';
--- a/packages/cli/src/lib/key-commands.ts
+++ b/packages/cli/src/lib/key-commands.ts
@@ -1,5 +1,6 @@
 /** `keys issue`, `keys withdraw` and `keys list`. */
 import type {Sade} from 'sade';
+import {sleep} from '@fireflytrack/time';
 import {
   describeState,
   issuedSchema,
@@ -12,7 +13,6 @@
   failureOf,
   numberOption,
   print,
-  sleep,
 } from './command-line.js';
 import type {CommonOptions} from './command-line.js';
 import {EXIT_CODES} from './exit-codes.js';
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -16,6 +16,7 @@
 export type {TextError} from './lib/text-error.js';
 export {formatTextError} from './lib/text-error.js';
 export {parseConfigurationText} from './lib/configuration-text.js';
+export {parseSettingsText} from './lib/settings-text.js';
 export {parseIni} from './lib/ini-document.js';
 export type {IniDocument, IniSection} from './lib/ini-document.js';
 export type {
--- a/packages/configuration/src/lib/configuration-repository.ts
+++ b/packages/configuration/src/lib/configuration-repository.ts
@@ -14,6 +14,7 @@
   TableService,
 } from '@fireflytrack/platform';
 import {createHash} from 'node:crypto';
+import {sleep} from '@fireflytrack/time';
 import type {ConfigurationError} from './configuration-error.js';
 import {parseConfigurationText} from './configuration-text.js';
 import {HEAD_KEY, changeKey, headSchema, versionKey} from './stored-rows.js';
@@ -22,7 +23,6 @@
   RESOLVE_DELAYS_MS,
   readFailure,
   readStoredRow,
-  sleep,
   writeFailure,
 } from './stored-row-reader.js';
 import type {StoredRow} from './stored-row-reader.js';
--- a/packages/configuration/src/lib/key-repository.ts
+++ b/packages/configuration/src/lib/key-repository.ts
@@ -9,6 +9,7 @@
 import type {Result} from '@fireflytrack/result';
 import type {PlatformError, TableService} from '@fireflytrack/platform';
 import {createHash} from 'node:crypto';
+import {sleep} from '@fireflytrack/time';
 import type {ConfigurationError} from './configuration-error.js';
 import {KEYS_KEY, keySetSchema} from './stored-rows.js';
 import type {KeyRecord, KeySet} from './stored-rows.js';
@@ -16,7 +17,6 @@
   RESOLVE_DELAYS_MS,
   readFailure,
   readStoredRow,
-  sleep,
   writeFailure,
 } from './stored-row-reader.js';
 import {createTeamKey, hashSecret} from './team-key.js';
--- a/packages/configuration/src/lib/start-rule.ts
+++ b/packages/configuration/src/lib/start-rule.ts
@@ -8,9 +8,9 @@
 import {rankByRendezvous} from '@fireflytrack/membership';
 import type {Membership} from '@fireflytrack/membership';
 import type {PeerNetwork} from '@fireflytrack/wire';
+import {sleep} from '@fireflytrack/time';
 import type {PeerExchange} from './peer-exchange.js';
 import type {StorePolling} from './store-polling.js';
-import {sleep} from './stored-row-reader.js';
 
 export interface StartRuleOptions {
   network: PeerNetwork;
--- a/packages/configuration/src/lib/store-polling.ts
+++ b/packages/configuration/src/lib/store-polling.ts
@@ -4,11 +4,11 @@
  */
 import type {FreshnessEvidence, Membership} from '@fireflytrack/membership';
 import {rankByRendezvous} from '@fireflytrack/membership';
+import {sleep} from '@fireflytrack/time';
 import type {ConfigurationRepository} from './configuration-repository.js';
 import type {HeldState} from './held-state.js';
 import type {KeyRepository} from './key-repository.js';
 import type {KeySet} from './stored-rows.js';
-import {sleep} from './stored-row-reader.js';
 import type {VersionEvidence} from './version-evidence.js';
 
 export interface StorePollingOptions {
--- a/packages/configuration/src/lib/stored-row-reader.ts
+++ b/packages/configuration/src/lib/stored-row-reader.ts
@@ -51,7 +51,3 @@
  * whose answer was lost may still take effect shortly after.
  */
 export const RESOLVE_DELAYS_MS = [0, 200, 500];
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -31,6 +31,7 @@
 import {TcpPeerNetwork} from '@fireflytrack/wire';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
+import {sleep} from '@fireflytrack/time';
 import {FreshnessGate} from './freshness-gate.js';
 import type {Settings} from './settings.js';
 
@@ -270,7 +271,3 @@
     onError: error => logger.warn('metrics', {message: error.message}),
   });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,7 +1,6 @@
 /** Settings of one process, from an INI file. See docs/configuration.md. */
-import {parseIni} from '@fireflytrack/configuration';
-import type {IniDocument, TextError} from '@fireflytrack/configuration';
-import {Err, Ok} from '@fireflytrack/result';
+import {parseSettingsText} from '@fireflytrack/configuration';
+import type {TextError} from '@fireflytrack/configuration';
 import type {Result} from '@fireflytrack/result';
 import {z} from 'zod';
 
@@ -67,18 +66,5 @@
   text: string,
   file: string,
 ): Result<Settings, TextError> {
-  const document = parseIni(text, file);
-  if (document.err) return document;
-  const parsed = settingsSchema.safeParse(plainObject(document.val));
-  if (parsed.success) return Ok(parsed.data);
-  const issue = parsed.error.issues[0];
-  const [section = '', key = ''] = (issue?.path ?? []).map(String);
-  return Err({file, section, key, expected: issue?.message ?? 'invalid'});
-}
-
-function plainObject(document: IniDocument): Record<string, unknown> {
-  const entries = [...document].map(
-    ([name, section]) => [name, Object.fromEntries(section)] as const,
-  );
-  return Object.fromEntries(entries);
+  return parseSettingsText(text, file, settingsSchema);
 }
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -13,6 +13,7 @@
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
+import {sleep} from '@fireflytrack/time';
 import {CallerConnections} from './caller-connection.js';
 import {CallerServer} from './caller-server.js';
 import {FreshnessLease, readClocks} from './freshness-lease.js';
@@ -336,7 +337,3 @@
     tracing: false,
   });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -2,9 +2,8 @@
  * Settings of one gateway process, from an INI file. See
  * docs/configuration.md.
  */
-import {parseIni} from '@fireflytrack/configuration';
-import type {IniDocument, TextError} from '@fireflytrack/configuration';
-import {Err, Ok} from '@fireflytrack/result';
+import {parseSettingsText} from '@fireflytrack/configuration';
+import type {TextError} from '@fireflytrack/configuration';
 import type {Result} from '@fireflytrack/result';
 import {z} from 'zod';
 
@@ -110,18 +109,5 @@
   text: string,
   file: string,
 ): Result<GatewaySettings, TextError> {
-  const document = parseIni(text, file);
-  if (document.err) return document;
-  const parsed = gatewaySettingsSchema.safeParse(plainObject(document.val));
-  if (parsed.success) return Ok(parsed.data);
-  const issue = parsed.error.issues[0];
-  const [section = '', key = ''] = (issue?.path ?? []).map(String);
-  return Err({file, section, key, expected: issue?.message ?? 'invalid'});
-}
-
-function plainObject(document: IniDocument): Record<string, unknown> {
-  const entries = [...document].map(
-    ([name, section]) => [name, Object.fromEntries(section)] as const,
-  );
-  return Object.fromEntries(entries);
+  return parseSettingsText(text, file, gatewaySettingsSchema);
 }
--- a/packages/limits/src/lib/share-ledger.ts
+++ b/packages/limits/src/lib/share-ledger.ts
@@ -10,6 +10,7 @@
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import type {Logger, Metrics} from '@fireflytrack/telemetry';
 import type {PeerNetwork} from '@fireflytrack/wire';
+import {sleep} from '@fireflytrack/time';
 import {HeardPeers} from './heard-peers.js';
 import {
   applyDonation,
@@ -288,7 +289,3 @@
   const owned = Object.values(row.owners).reduce((sum, one) => sum + one, 0);
   return owned + row.freeParts === TOTAL_PARTS ? TOTAL_PARTS : -1;
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/once/src/lib/claim-store.ts
+++ b/packages/once/src/lib/claim-store.ts
@@ -11,6 +11,7 @@
   TableRow,
   TableService,
 } from '@fireflytrack/platform';
+import {sleep} from '@fireflytrack/time';
 import {WINDOW_MS, claimRowSchema} from './claim-row.js';
 import type {ClaimRow} from './claim-row.js';
 import {OperationGroup} from './operation-group.js';
@@ -165,7 +166,3 @@
   if (!row) return undefined;
   return {version: row.version, claim: claimRowSchema.parse(row.value)};
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/once/src/test/table-once-registry_test.ts
+++ b/packages/once/src/test/table-once-registry_test.ts
@@ -6,6 +6,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {expect} from 'earl';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {sleep} from '@fireflytrack/time';
 import type {DispatchOutcome} from '../lib/once-registry.js';
 import {TableOnceRegistry} from '../lib/table-once-registry.js';
 
@@ -33,10 +34,6 @@
   };
 }
 
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
-
 function answerOf(text: string, status = 200): DispatchOutcome {
   const answer = {status, headers: {}, body: Buffer.from(text)};
   return {kind: 'answered', answer};
--- a/packages/proofs/src/lib/configuration-faults.ts
+++ b/packages/proofs/src/lib/configuration-faults.ts
@@ -18,6 +18,7 @@
   PeerNetwork,
   RequestHandler,
 } from '@fireflytrack/wire';
+import {sleep} from '@fireflytrack/time';
 
 const STORE_TIMEOUT_MS = 1000;
 
@@ -174,7 +175,3 @@
       }),
   };
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/proofs/src/lib/configuration-naive.ts
+++ b/packages/proofs/src/lib/configuration-naive.ts
@@ -17,7 +17,7 @@
   TableService,
 } from '@fireflytrack/platform';
 import {Err, Ok} from '@fireflytrack/result';
-import {sleep} from './configuration-faults.js';
+import {sleep} from '@fireflytrack/time';
 import {realInstance} from './configuration-instance.js';
 import type {
   ChangeService,
--- a/packages/proofs/src/lib/configuration-script.ts
+++ b/packages/proofs/src/lib/configuration-script.ts
@@ -1,6 +1,6 @@
 /** Random scripts of operators' changes and faults for the fleet. */
 import fc from 'fast-check';
-import {sleep} from './configuration-faults.js';
+import {sleep} from '@fireflytrack/time';
 import {REGIONS} from './configuration-fleet.js';
 import type {ConfigurationFleet, FleetMember} from './configuration-fleet.js';
 
--- a/packages/proofs/src/lib/once-backend.ts
+++ b/packages/proofs/src/lib/once-backend.ts
@@ -1,5 +1,6 @@
 /** A backend server that records each execution and fails as planned. */
 import type {DispatchOutcome} from '@fireflytrack/once';
+import {sleep} from '@fireflytrack/time';
 import type {History} from './history.js';
 import type {InstanceGate} from './once-instance-gate.js';
 import type {BackendBehavior} from './once-plan.js';
@@ -78,7 +79,3 @@
     return body;
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/proofs/src/lib/once-faulty-table.ts
+++ b/packages/proofs/src/lib/once-faulty-table.ts
@@ -8,6 +8,7 @@
   TableOperation,
   TableService,
 } from '@fireflytrack/platform';
+import {sleep} from '@fireflytrack/time';
 import type {InstanceGate} from './once-instance-gate.js';
 import type {PlannedFault} from './once-plan.js';
 
@@ -70,7 +71,3 @@
   await sleep(CLIENT_TIMEOUT_MS);
   return Err({kind: 'outcome-unknown', message: 'timeout'});
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/proofs/src/lib/process-run.ts
+++ b/packages/proofs/src/lib/process-run.ts
@@ -5,6 +5,7 @@
 import {LocalFleet} from '@fireflytrack/stand-ins';
 import type {FleetInstance} from '@fireflytrack/stand-ins';
 import {Agent, request} from 'undici';
+import {sleep} from '@fireflytrack/time';
 
 export const TEAM = 'tills-bergamo';
 
@@ -174,7 +175,3 @@
 `;
   }
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/proofs/src/lib/simulated-table.ts
+++ b/packages/proofs/src/lib/simulated-table.ts
@@ -14,6 +14,7 @@
   TableRow,
   TableService,
 } from '@fireflytrack/platform';
+import {sleep} from '@fireflytrack/time';
 import {between} from './limits-random.js';
 import type {Random} from './limits-random.js';
 import {SimulatedProcess} from './simulated-process.js';
@@ -83,7 +84,3 @@
     return this.process.receive(answer);
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/proofs/src/test/process-keys_test.ts
+++ b/packages/proofs/src/test/process-keys_test.ts
@@ -5,7 +5,8 @@
  */
 import {expect} from 'earl';
 import {after, before, describe, it} from 'node:test';
-import {ProcessRun, TEAM, sleep} from '../lib/process-run.js';
+import {sleep} from '@fireflytrack/time';
+import {ProcessRun, TEAM} from '../lib/process-run.js';
 
 // The brief's "within seconds" as docs/design.md fixes it.
 const WITHDRAWN_WITHIN_MS = 5000;
--- a/packages/proofs/src/test/process-once_test.ts
+++ b/packages/proofs/src/test/process-once_test.ts
@@ -4,7 +4,8 @@
  */
 import {expect} from 'earl';
 import {after, before, describe, it} from 'node:test';
-import {ProcessRun, sleep} from '../lib/process-run.js';
+import {sleep} from '@fireflytrack/time';
+import {ProcessRun} from '../lib/process-run.js';
 
 let run: ProcessRun;
 
--- a/packages/proofs/src/test/process-stop_test.ts
+++ b/packages/proofs/src/test/process-stop_test.ts
@@ -1,7 +1,8 @@
 /** Guards against a planned stop that cuts requests (P10). */
 import {expect} from 'earl';
 import {after, before, describe, it} from 'node:test';
-import {ProcessRun, sleep} from '../lib/process-run.js';
+import {sleep} from '@fireflytrack/time';
+import {ProcessRun} from '../lib/process-run.js';
 import type {CallAnswer} from '../lib/process-run.js';
 
 let run: ProcessRun;
--- a/packages/stand-ins/src/lib/demo.ts
+++ b/packages/stand-ins/src/lib/demo.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import sade from 'sade';
 import {request} from 'undici';
+import {sleep} from '@fireflytrack/time';
 import {LocalFleet} from './local-fleet.js';
 import type {FleetInstance, FleetTarget} from './local-fleet.js';
 
@@ -256,7 +257,3 @@
 function zoneOf(index: number): string {
   return ZONES[index % ZONES.length]!.availabilityZone;
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@fireflytrack/telemetry';
 import type {PeerDialer, PeerNetwork} from '@fireflytrack/wire';
 import {z} from 'zod';
+import {sleep} from '@fireflytrack/time';
 import {leaderKeyOf, leadersOf, versionOf} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 
@@ -269,7 +270,3 @@
       .some(peer => peer.instanceId === instanceId);
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@fireflytrack/telemetry';
 import type {RepeatBudget} from '@fireflytrack/upstream';
 import {TcpPeerNetwork} from '@fireflytrack/wire';
+import {sleep} from '@fireflytrack/time';
 import {secretIn, storeSecret} from './fleet-secret.js';
 import {FailureExchange} from './failure-exchange.js';
 import type {ServerFailure} from './failure-exchange.js';
@@ -185,7 +186,3 @@
     return undefined;
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -37,6 +37,9 @@
     }));
     build.onLoad({filter: /.*/, namespace: 'undici-clients'}, () => ({
       contents: `
+        import api from 'undici/lib/api/index.js';
+        import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
+        Object.assign(Dispatcher.prototype, api);
         export {default as Client} from 'undici/lib/dispatcher/client.js';
         export {default as Pool} from 'undici/lib/dispatcher/pool.js';
         export {default as errors} from 'undici/lib/core/errors.js';
