Count what rates yield while nobody leads a zone

Cause: a new leader takes what the one before it granted to be unknown and begins with nearly empty buckets.

An instance that finds an earlier life of itself in the row of its zone, or that is told by the restarted leader how long its new life has lasted, knows since when the zone had no leader, and its buckets hold what the rate yielded since. Ruled out: fuller buckets for every new leader (they may grant the burst twice) and shorter pauses between borrowing (bytes between regions).

Tests: bound over all zones for rates of 2 to 200 while all restart; a team within its rate is served at once after a restart (fails without the change); a leader that is out of reach is taken to have led until now.

--- a/packages/zone/src/lib/zone-buckets.ts
+++ b/packages/zone/src/lib/zone-buckets.ts
@@ -2,8 +2,10 @@
  * The part of each team's rate that one availability zone may use.
  *
  * Each leading instance holds one bucket per team. Buckets are nearly empty
- * when the lead begins: what a leader before it granted a moment ago is not
- * known, and the burst must not be granted twice.
+ * when the lead begins: what a leader before it granted is not known, and the
+ * burst must not be granted twice. They hold what the rate has yielded since the
+ * leader before it was gone, so that teams within their rates are served at once
+ * after all instances restarted.
  */
 import type {TeamPolicy} from '@fireflytrack/policy';
 
@@ -28,7 +30,7 @@
 
 export class ZoneBuckets {
   private readonly buckets = new Map<string, Bucket>();
-  private leadsSinceMs = performance.now();
+  private vacantSinceMs = performance.now();
 
   private constructor(
     private readonly bounds: RateBounds,
@@ -39,10 +41,10 @@
     return new ZoneBuckets(bounds, zoneCount);
   }
 
-  /** Empties all buckets; for the begin of a lead. */
-  clear(): void {
+  /** Begins anew; nobody has granted anything since `vacantSinceMs`. */
+  clear(vacantSinceMs: number): void {
     this.buckets.clear();
-    this.leadsSinceMs = performance.now();
+    this.vacantSinceMs = vacantSinceMs;
   }
 
   tryTake(team: TeamPolicy): boolean {
@@ -75,7 +77,7 @@
     const nowMs = performance.now();
     let bucket = this.buckets.get(team.name);
     if (!bucket) {
-      bucket = {tokens: this.firstTokens(team), filledAtMs: this.leadsSinceMs};
+      bucket = {tokens: this.firstTokens(team), filledAtMs: this.vacantSinceMs};
       this.buckets.set(team.name, bucket);
     }
     const gained = (nowMs - bucket.filledAtMs) * this.ratePerMs(team);
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -19,8 +19,11 @@
   table: TableService;
   network: PeerNetwork & PeerDialer;
   logger: Logger;
-  /** Called when this instance begins to lead. */
-  onLead(): void;
+  /**
+   * Called when this instance begins to lead; nobody has led the zone since
+   * `vacantSinceMs` of the monotonic clock.
+   */
+  onLead(vacantSinceMs: number): void;
 }
 
 const CONFIRM_LEADER = 'zone.confirm';
@@ -29,7 +32,11 @@
 const confirmationSchema = z.object({
   leads: z.boolean(),
   instances: z.number().int().positive(),
+  /** Life of the instance that answers, and how long it has lasted. */
+  lifeId: z.string().optional(),
+  uptimeMs: z.number().nonnegative().optional(),
 });
+type Confirmation = z.infer<typeof confirmationSchema>;
 const fleetSizeSchema = z.object({instances: z.number().int().positive()});
 
 // A leader looks at its row this often; it bounds how long two may act.
@@ -56,13 +63,20 @@
   private leads = false;
   private stopped = false;
   private fleetSize = 1;
+  /** Since when the leader that the row names is known to be gone. */
+  private vacantSinceMs: number | undefined;
 
   private constructor(private readonly options: ZoneElectionOptions) {
-    const {network} = options;
-    network.onRequest(CONFIRM_LEADER, () => ({
-      leads: this.isLeader,
-      instances: this.fleetSize,
-    }));
+    const {network, self} = options;
+    network.onRequest(CONFIRM_LEADER, () => {
+      const confirmation: Confirmation = {
+        leads: this.isLeader,
+        instances: this.fleetSize,
+        lifeId: self.lifeId,
+        uptimeMs: performance.now(),
+      };
+      return confirmation;
+    });
     network.onMessage(FLEET_SIZE, (_from, payload) => {
       this.fleetSize = fleetSizeSchema.parse(payload).instances;
     });
@@ -149,7 +163,7 @@
     const leads = own?.lifeId === self.lifeId;
     if (leads === this.leads) return;
     this.leads = leads;
-    if (leads) this.options.onLead();
+    if (leads) this.options.onLead(this.vacantSinceMs ?? performance.now());
     const leader = own?.instanceId;
     logger.info(leads ? 'leads the zone' : 'lost the lead of the zone', {
       availabilityZone: self.availabilityZone,
@@ -188,7 +202,12 @@
   private async reach(): Promise<boolean> {
     const {network, self, logger} = this.options;
     const leader = this.leaders.get(self.availabilityZone);
-    if (!leader || leader.instanceId === self.instanceId) return false;
+    this.vacantSinceMs = undefined;
+    if (!leader) return false;
+    if (leader.instanceId === self.instanceId) {
+      if (this.isEarlierLife(leader)) this.vacantSinceMs = 0;
+      return false;
+    }
     network.connectTo(leader);
     const giveUpAtMs = performance.now() + REACH_WAIT_MS;
     while (!this.isConnected(leader)) {
@@ -208,12 +227,25 @@
       answer.ok ? answer.val : undefined,
     );
     const confirmed = confirmation.success && confirmation.data.leads;
-    if (confirmation.success) this.fleetSize = confirmation.data.instances;
+    if (confirmation.success) {
+      const {instances, lifeId, uptimeMs} = confirmation.data;
+      this.fleetSize = instances;
+      // The instance has restarted, so that its earlier life, which led, is over.
+      if (lifeId !== leader.lifeId && uptimeMs !== undefined) {
+        this.vacantSinceMs = performance.now() - uptimeMs;
+      }
+    }
     if (confirmed) logger.info('follows leader', {leader: leader.instanceId});
     else network.disconnect(leader.instanceId);
     return confirmed;
   }
 
+  /** Whether the row names a life of this instance that is over. */
+  private isEarlierLife({lifeId, host, port}: Leader): boolean {
+    const {self} = this.options;
+    return lifeId !== self.lifeId && host === self.host && port === self.port;
+  }
+
   private async whileConnected(): Promise<void> {
     const {network, self, logger} = this.options;
     const leader = this.leaders.get(self.availabilityZone)!;
--- a/packages/zone/src/lib/zone-fleet.ts
+++ b/packages/zone/src/lib/zone-fleet.ts
@@ -140,8 +140,8 @@
       logger,
     });
     await network.start();
-    const onLead = () => {
-      this.limiter?.beginLead();
+    const onLead = (vacantSinceMs: number) => {
+      this.limiter?.beginLead(vacantSinceMs);
       this.repeats.beginLead();
     };
     const election = ZoneElection.create({
--- a/packages/zone/src/lib/zone-rate-limiter.ts
+++ b/packages/zone/src/lib/zone-rate-limiter.ts
@@ -79,9 +79,9 @@
     return new ZoneRateLimiter(options);
   }
 
-  /** This instance begins to lead its zone. */
-  beginLead(): void {
-    this.buckets.clear();
+  /** This instance begins to lead its zone, which nobody led for a while. */
+  beginLead(vacantSinceMs: number): void {
+    this.buckets.clear(vacantSinceMs);
   }
 
   async admit(team: TeamPolicy): Promise<RateDecision> {
--- a/packages/zone/src/test/zone-buckets_test.ts
+++ b/packages/zone/src/test/zone-buckets_test.ts
@@ -27,13 +27,15 @@
   function worstWindow(
     buckets: ZoneBuckets[],
     team: Parameters<ZoneBuckets['tryTake']>[0],
-    onStep: (step: number) => void = () => {},
+    /** Returns whether nobody leads at this step. */
+    onStep: (step: number) => boolean = () => false,
   ): number {
     const admitted: number[] = [];
     for (let step = 0; step < 600; step += 1) {
-      onStep(step);
       let taken = 0;
-      for (const bucket of buckets) while (bucket.tryTake(team)) taken += 1;
+      if (!onStep(step)) {
+        for (const bucket of buckets) while (bucket.tryTake(team)) taken += 1;
+      }
       admitted.push(taken);
       clock.tick(STEP_MS);
     }
@@ -62,10 +64,28 @@
       const buckets = zones();
       clock.tick(60_000);
       const replace = (step: number) => {
-        if (step === 20) for (const bucket of buckets) bucket.clear();
+        if (step === 20) {
+          for (const bucket of buckets) bucket.clear(performance.now());
+        }
+        return false;
       };
       expect(worstWindow(buckets, team, replace) <= most).toEqual(true);
     });
+
+    it(`hold a rate of ${ratePerSecond} while all instances restart`, () => {
+      const buckets = zones();
+      clock.tick(60_000);
+      const DOWN_STEPS = 30;
+      let vacantSinceMs = 0;
+      const restart = (step: number) => {
+        if (step === 20) vacantSinceMs = performance.now();
+        if (step === 20 + DOWN_STEPS) {
+          for (const bucket of buckets) bucket.clear(vacantSinceMs);
+        }
+        return step >= 20 && step < 20 + DOWN_STEPS;
+      };
+      expect(worstWindow(buckets, team, restart) <= most).toEqual(true);
+    });
   }
 
   // Guards against refusals that the operator does not ask for: a team a little
@@ -104,6 +124,27 @@
     expect(refused).toEqual(0);
   });
 
+  // Guards against refusals after all instances restarted: half of the requests
+  // of two seconds were refused, although nobody had asked for a second.
+  it('serve what comes at once after all instances restarted', () => {
+    const team = {
+      name: 't',
+      keyDigests: [],
+      ratePerSecond: 24,
+      burstTokens: 24,
+    };
+    const buckets = zones();
+    clock.tick(60_000);
+    for (const bucket of buckets) bucket.clear(performance.now() - 1000);
+    let refused = 0;
+    for (const bucket of buckets) {
+      for (let count = 0; count < 4; count += 1) {
+        if (!bucket.tryTake(team)) refused += 1;
+      }
+    }
+    expect(refused).toEqual(0);
+  });
+
   it('lends what another zone takes, and not twice', () => {
     const team = {
       name: 't',
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -15,6 +15,8 @@
 
 interface Member {
   election: ZoneElection;
+  /** For each lead that began: how long nobody had led the zone. */
+  vacantForMs: number[];
   disconnected: string[];
 }
 
@@ -36,10 +38,10 @@
     clock.uninstall();
   });
 
-  function join(instanceId: string, zone: string): Member {
+  function join(instanceId: string, zone: string, life = 'life'): Member {
     const self: Leader = {
       instanceId,
-      lifeId: `${instanceId}-life`,
+      lifeId: `${instanceId}-${life}`,
       availabilityZone: zone,
       region: 'nord',
       host: '10.0.0.1',
@@ -52,6 +54,7 @@
       region: 'nord',
     });
     const disconnected: string[] = [];
+    const vacantForMs: number[] = [];
     const dialing: PeerNetwork & PeerDialer = {
       self: peers.self,
       peers: () => peers.peers(),
@@ -70,10 +73,11 @@
       table,
       network: dialing,
       logger,
-      onLead: () => {},
+      onLead: vacantSinceMs =>
+        vacantForMs.push(performance.now() - vacantSinceMs),
     });
     election.start([]);
-    const member = {election, disconnected};
+    const member = {election, disconnected, vacantForMs};
     members.push(member);
     return member;
   }
@@ -122,6 +126,37 @@
     expect(leaders(rest)).toEqual(1);
   });
 
+  it('knows how long nobody led after the leader restarted', async () => {
+    join('n1', 'nord-a');
+    await clock.tickAsync(5000);
+    for (const {election} of members.splice(0)) election.stop();
+    network.leave('n1');
+    await clock.tickAsync(5000);
+    // Both clocks count from the start of the process.
+    clock.uninstall();
+    clock = FakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    const uptimeMs = 700;
+    await clock.tickAsync(uptimeMs);
+    const again = join('n1', 'nord-a', 'second-life');
+    await clock.tickAsync(5000);
+    expect(again.vacantForMs.length).toEqual(1);
+    expect(again.vacantForMs[0]! >= uptimeMs).toEqual(true);
+    expect(again.vacantForMs[0]! < uptimeMs + 500).toEqual(true);
+  });
+
+  it('takes a leader that is out of reach to have led until now', async () => {
+    const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+    await clock.tickAsync(5000);
+    const gone = all.findIndex(({election}) => election.isLeader);
+    network.leave(['n1', 'n2'][gone]!);
+    await clock.tickAsync(5000);
+    const {vacantForMs} = all[1 - gone]!;
+    expect(vacantForMs.length >= 1).toEqual(true);
+    expect(Math.max(...vacantForMs)).toEqual(0);
+  });
+
   it('goes on while the table is away, and finds a leader after it', async () => {
     const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
     await clock.tickAsync(5000);
