--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -163,12 +163,17 @@
     const leads = own?.lifeId === self.lifeId;
     if (leads === this.leads) return;
     this.leads = leads;
-    if (leads) this.options.onLead(this.vacantSinceMs ?? performance.now());
-    const leader = own?.instanceId;
-    logger.info(leads ? 'leads the zone' : 'lost the lead of the zone', {
-      availabilityZone: self.availabilityZone,
-      leader,
-    });
+    const {availabilityZone} = self;
+    if (!leads) {
+      const leader = own?.instanceId;
+      logger.info('lost the lead of the zone', {availabilityZone, leader});
+      return;
+    }
+    const nowMs = performance.now();
+    const vacantSinceMs = this.vacantSinceMs ?? nowMs;
+    this.options.onLead(vacantSinceMs);
+    const vacantForMs = Math.round(nowMs - vacantSinceMs);
+    logger.info('leads the zone', {availabilityZone, vacantForMs});
   }
 
   /** Counts the fleet, tells the own zone, and rests until the next look. */
