Report beliefs about backend servers and readmissions by the floor

Adds the gauge servers_by_belief, the counter servers_readmitted_total, the log line "server readmitted" and the same figures in the state dump.

No decision changes.

--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -2,6 +2,7 @@
  * Metrics of a gateway process in the Prometheus text format.
  * docs/OPERATIONS.md lists them.
  */
+import type {ServerBeliefs} from '@fireflytrack/upstream';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Gauge values, read at each scrape. */
@@ -10,7 +11,8 @@
   policyVersion(): number;
   policyAgeSeconds(): number;
   servers(): number;
-  serversAvoided(): number;
+  serverBeliefs(): ServerBeliefs;
+  serversReadmitted(): number;
   isZoneLeader(): boolean;
 }
 
@@ -50,7 +52,14 @@
         readers.policyAgeSeconds,
       ],
       ['servers', 'Backend servers known.', readers.servers],
-      ['servers_avoided', 'Backend servers avoided.', readers.serversAvoided],
+      [
+        'servers_avoided',
+        'Backend servers avoided.',
+        () => {
+          const {suspected, failing} = readers.serverBeliefs();
+          return suspected + failing;
+        },
+      ],
       [
         'leads_zone',
         'Whether this instance leads its zone.',
@@ -67,6 +76,33 @@
         },
       });
     }
+    this.registerServerMetrics(readers);
+  }
+
+  private registerServerMetrics(readers: GaugeReaders): void {
+    const registers = [this.registry];
+    new Gauge({
+      name: 'fireflytrack_servers_by_belief',
+      help: 'Backend servers by what this instance believes about them.',
+      labelNames: ['belief'] as const,
+      registers,
+      collect() {
+        const {suspected, failing, onTrial, trusted} = readers.serverBeliefs();
+        this.set({belief: 'suspected'}, suspected);
+        this.set({belief: 'failing'}, failing);
+        this.set({belief: 'on-trial'}, onTrial);
+        this.set({belief: 'trusted'}, trusted);
+      },
+    });
+    new Counter({
+      name: 'fireflytrack_servers_readmitted_total',
+      help: 'Avoidances of backend servers that the floor ended early.',
+      registers,
+      collect() {
+        this.reset();
+        this.inc(readers.serversReadmitted());
+      },
+    });
   }
 
   static create(readers: GaugeReaders): GatewayMetrics {
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -187,7 +187,8 @@
       policyVersion: () => this.policies.current()?.version ?? 0,
       policyAgeSeconds: () => this.policies.lease.ageMs() / MS_PER_SECOND,
       servers: () => this.catalog.allServers().length,
-      serversAvoided: () => this.upstream.avoidedServers,
+      serverBeliefs: () => this.upstream.countBeliefs(),
+      serversReadmitted: () => this.upstream.readmissions,
       isZoneLeader: () => this.zone.isLeader,
     });
     this.requestHandler = RequestHandler.create({
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -8,6 +8,7 @@
 } from './lib/request-run.js';
 export type {RetryBudget, RetryCause} from './lib/retry-budget.js';
 export type {Location} from './lib/server-picker.js';
+export type {ServerBeliefs} from './lib/service-state.js';
 export {Upstream} from './lib/upstream.js';
 export type {UpstreamOptions} from './lib/upstream.js';
 export type {
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -33,8 +33,22 @@
   'error-status',
 ]);
 
+/** What an instance believes about servers; each server counts once. */
+export interface ServerBeliefs {
+  /** Avoided after a failure. */
+  suspected: number;
+  /** Avoided after a failed trial as well; the floor does not count them. */
+  failing: number;
+  /** Not avoided any more, but without a successful response since. */
+  onTrial: number;
+  /** All others. */
+  trusted: number;
+}
+
 export class ServiceState {
   readonly records: ServerRecord[] = [];
+  /** Avoidances that the floor ended early. */
+  readmissions = 0;
   private typicalMs: number | undefined;
 
   private constructor(private readonly options: ServiceStateOptions) {}
@@ -112,10 +126,24 @@
     return true;
   }
 
+  countBeliefs(): ServerBeliefs {
+    const nowMs = performance.now();
+    const beliefs = {suspected: 0, failing: 0, onTrial: 0, trusted: 0};
+    for (const record of this.records) {
+      if (record.isConfirmedFailing(nowMs)) beliefs.failing += 1;
+      else if (record.isAvoided(nowMs)) beliefs.suspected += 1;
+      else if (record.isOnTrial(nowMs)) beliefs.onTrial += 1;
+      else beliefs.trusted += 1;
+    }
+    return beliefs;
+  }
+
   dumpState(): unknown {
     const nowMs = performance.now();
     return {
       typicalMs: this.typicalMs,
+      readmissions: this.readmissions,
+      beliefs: this.countBeliefs(),
       servers: this.records.map(record => ({
         server: record.serverId,
         inFlight: record.inFlight,
@@ -157,6 +185,17 @@
         distanceOf(b) - distanceOf(a) || a.avoidedUntilMs - b.avoidedUntilMs,
     );
     const excess = Math.max(0, avoided.length - maxCount);
-    for (const record of avoided.slice(0, excess)) record.readmit();
+    for (const record of avoided.slice(0, excess)) this.readmit(record);
+  }
+
+  private readmit(record: ServerRecord): void {
+    this.readmissions += 1;
+    const {name, logger} = this.options;
+    logger.info('server readmitted', {
+      service: name,
+      server: record.serverId,
+      earlyByMs: Math.round(record.avoidedUntilMs - performance.now()),
+    });
+    record.readmit();
   }
 }
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -12,6 +12,7 @@
 import type {Location} from './server-picker.js';
 import {ServerRecord} from './server-record.js';
 import {ServiceState} from './service-state.js';
+import type {ServerBeliefs} from './service-state.js';
 
 export interface ObservedFailure {
   serverId: string;
@@ -87,13 +88,25 @@
     return (this.services.get(service)?.records.length ?? 0) > 0;
   }
 
-  get avoidedServers(): number {
-    const nowMs = performance.now();
-    let avoided = 0;
-    for (const record of this.records.values()) {
-      if (record.isAvoided(nowMs)) avoided += 1;
+  /** Beliefs about the servers of all services. */
+  countBeliefs(): ServerBeliefs {
+    const total = {suspected: 0, failing: 0, onTrial: 0, trusted: 0};
+    for (const state of this.services.values()) {
+      const beliefs = state.countBeliefs();
+      total.suspected += beliefs.suspected;
+      total.failing += beliefs.failing;
+      total.onTrial += beliefs.onTrial;
+      total.trusted += beliefs.trusted;
     }
-    return avoided;
+    return total;
+  }
+
+  /** Avoidances that the floor ended early since the start. */
+  get readmissions(): number {
+    let readmissions = 0;
+    for (const state of this.services.values())
+      readmissions += state.readmissions;
+    return readmissions;
   }
 
   close(): void {
--- a/packages/upstream/src/test/service-state_test.ts
+++ b/packages/upstream/src/test/service-state_test.ts
@@ -67,6 +67,32 @@
     expect(avoided().every(name => name.startsWith('near'))).toEqual(true);
   });
 
+  // Without these counts an operator cannot tell an avoided server from one that
+  // the floor returned and nobody chooses.
+  it('counts each server by one belief, and the readmissions', () => {
+    const [first, second] = state.records;
+    state.recordFailure(first!, 'fault', 'reset');
+    clock.tick(LONGEST_AVOIDANCE_MS);
+    expect(state.countBeliefs()).toEqual({
+      suspected: 0,
+      failing: 0,
+      onTrial: 1,
+      trusted: SERVERS - 1,
+    });
+    state.recordFailure(first!, 'fault', 'reset');
+    state.recordFailure(second!, 'fault', 'reset');
+    expect(state.countBeliefs()).toEqual({
+      suspected: 1,
+      failing: 1,
+      onTrial: 0,
+      trusted: SERVERS - 2,
+    });
+    expect(state.readmissions).toEqual(0);
+    for (const record of state.records)
+      state.recordFailure(record, 'fault', 'reset');
+    expect(state.readmissions).toEqual(SERVERS - 1 - MAX_SUSPECTED);
+  });
+
   it('avoids servers that failed a trial in addition to suspected ones', () => {
     const [first, second, ...others] = state.records;
     const unhealthy = [first!, second!];
