--- /dev/null
+++ b/packages/proofs/src/lib/gateway-floor.ts
@@ -0,0 +1,144 @@
+/**
+ * P1 for gateways: of the servers that operators count as sound, the fleet as a
+ * whole uses at least the floor share at any time.
+ *
+ * An operator counts a server that failed a request by itself as sound again
+ * two seconds later. The servers that the instances use are counted together,
+ * because each instance alone sends too few requests to use them all.
+ */
+import {FakeTime} from './fake-time.js';
+import {GatewayFleet} from './gateway-fleet.js';
+import type {GatewayVariant} from './gateway-fleet.js';
+import {seededRandom} from './health-random.js';
+
+export interface GatewayFloorScenario {
+  /** Share of the servers that fail by themselves from the start. */
+  failingShare: number;
+  /** Share of the instances that restart during the run. */
+  restartedShare: number;
+  /** Whether zone leaders distribute failures. */
+  hasLeaders: boolean;
+  requestsPerSecond: number;
+  variant?: GatewayVariant;
+}
+
+export const FAILING_SERVERS: GatewayFloorScenario = {
+  failingShare: 0.48,
+  restartedShare: 0,
+  hasLeaders: true,
+  requestsPerSecond: 250,
+};
+
+const ZONES_BY_REGION = {
+  lombardia: ['como', 'bergamo', 'brescia'],
+  veneto: ['murano', 'verona', 'padova'],
+  piemonte: ['torino', 'biella', 'novara'],
+};
+const INSTANCES_PER_ZONE = 15;
+const SERVERS_PER_ZONE = 7;
+const FLOOR_SHARE = 0.7;
+const FAIL_SHARE = 0.9;
+const MIN_PHASE_MS = 6000;
+const MAX_PHASE_MS = 14_000;
+const RUN_MS = 18_000;
+const RESTARTS_FROM_MS = 4000;
+const RESTARTS_WITHIN_MS = 6000;
+const RESTART_DOWN_MS = 500;
+const SOUND_AFTER_FAILURE_MS = 2000;
+const WINDOW_MS = 2000;
+const WINDOW_STEP_MS = 250;
+
+export interface FloorReport {
+  /** The least share of sound servers that got a request in any window. */
+  leastUsedShare: number;
+  /** End of that window, from the start of the run. */
+  atMs: number;
+  failedShare: number;
+}
+
+/** Runs the scenario on a paused clock. */
+export async function runGatewayFloor(
+  scenario: GatewayFloorScenario,
+  seed: number,
+): Promise<FloorReport> {
+  const time = FakeTime.install();
+  try {
+    const startedAtMs = performance.now();
+    const fleet = GatewayFleet.create({
+      seed,
+      variant: scenario.variant ?? 'pooled',
+      zonesByRegion: ZONES_BY_REGION,
+      instancesPerZone: INSTANCES_PER_ZONE,
+      serversPerZone: SERVERS_PER_ZONE,
+      requestsPerSecond: scenario.requestsPerSecond,
+      floorShare: FLOOR_SHARE,
+    });
+    fleet.hasLeaders = scenario.hasLeaders;
+    scheduleFaults(fleet, scenario, seed);
+    await time.advance(RUN_MS);
+    return createReport(fleet, startedAtMs);
+  } finally {
+    time.uninstall();
+  }
+}
+
+function scheduleFaults(
+  fleet: GatewayFleet,
+  scenario: GatewayFloorScenario,
+  seed: number,
+): void {
+  const random = seededRandom(seed + 1);
+  const nowMs = performance.now();
+  for (const server of fleet.servers) {
+    if (random() >= scenario.failingShare) continue;
+    const phaseMs = MIN_PHASE_MS + random() * (MAX_PHASE_MS - MIN_PHASE_MS);
+    server.addFailurePhase({
+      fromMs: nowMs,
+      untilMs: nowMs + phaseMs,
+      failShare: FAIL_SHARE,
+    });
+  }
+  for (const instance of fleet.instances) {
+    if (random() >= scenario.restartedShare) continue;
+    const delayMs = RESTARTS_FROM_MS + random() * RESTARTS_WITHIN_MS;
+    setTimeout(() => fleet.restart(instance, RESTART_DOWN_MS), delayMs);
+  }
+}
+
+function createReport(fleet: GatewayFleet, startedAtMs: number): FloorReport {
+  const endMs = startedAtMs + RUN_MS;
+  let leastUsedShare = 1;
+  let atMs = 0;
+  const firstMs = startedAtMs + SOUND_AFTER_FAILURE_MS;
+  for (let fromMs = firstMs; fromMs + WINDOW_MS <= endMs; ) {
+    const untilMs = fromMs + WINDOW_MS;
+    const sound = fleet.servers.filter(
+      server => !server.failedBetween(fromMs - SOUND_AFTER_FAILURE_MS, fromMs),
+    );
+    const used = sound.filter(server =>
+      server.receivedBetween(fromMs, untilMs),
+    );
+    const usedShare = used.length / sound.length;
+    if (usedShare < leastUsedShare) {
+      leastUsedShare = usedShare;
+      atMs = untilMs - startedAtMs;
+    }
+    fromMs += WINDOW_STEP_MS;
+  }
+  const failed = fleet.requests.filter(({served}) => !served);
+  const failedShare = failed.length / fleet.requests.length;
+  return {leastUsedShare, atMs, failedShare};
+}
+
+/** Rejects if the fleet used less than the floor share of the sound servers. */
+export async function checkGatewayFloor(
+  scenario: GatewayFloorScenario,
+  seed: number,
+): Promise<void> {
+  const {leastUsedShare, atMs} = await runGatewayFloor(scenario, seed);
+  if (leastUsedShare >= FLOOR_SHARE) return;
+  const share = leastUsedShare.toFixed(2);
+  throw new Error(
+    `seed ${seed}: ${share} of the sound servers got a request in the 2 s before ${atMs} ms`,
+  );
+}
--- /dev/null
+++ b/packages/proofs/src/test/gateway-floor_test.ts
@@ -0,0 +1,52 @@
+/**
+ * Guards against healthy servers that no instance of the fleet uses: each
+ * instance keeps the floor by itself, but all of them avoid the same servers.
+ */
+import {expect} from 'earl';
+import {describe, it} from 'node:test';
+import {
+  FAILING_SERVERS,
+  checkGatewayFloor,
+  runGatewayFloor,
+} from '../lib/gateway-floor.js';
+import type {GatewayFloorScenario} from '../lib/gateway-floor.js';
+import {ciSeeds} from '../lib/seeds.js';
+
+const SEEDS = ciSeeds(6);
+
+const SCENARIOS: Record<string, GatewayFloorScenario> = {
+  'while half of the servers fail by themselves': FAILING_SERVERS,
+  'while instances restart and half of the servers fail': {
+    ...FAILING_SERVERS,
+    restartedShare: 0.3,
+  },
+  'while no failure reaches another instance': {
+    ...FAILING_SERVERS,
+    hasLeaders: false,
+  },
+  'at half of the load': {...FAILING_SERVERS, requestsPerSecond: 125},
+  'while instances restart and no server fails': {
+    ...FAILING_SERVERS,
+    failingShare: 0,
+    restartedShare: 0.3,
+    hasLeaders: false,
+  },
+};
+
+describe('floor of a fleet of gateways', () => {
+  for (const [name, scenario] of Object.entries(SCENARIOS)) {
+    it(`uses the floor share of the sound servers ${name}`, async () => {
+      for (const seed of SEEDS) await checkGatewayFloor(scenario, seed);
+    });
+  }
+
+  // A fleet that loses a server for good at its first failure must be caught.
+  it('finds the violation of a fleet that never returns to a server', async () => {
+    const scenario: GatewayFloorScenario = {
+      ...FAILING_SERVERS,
+      variant: 'never-returns',
+    };
+    const report = await runGatewayFloor(scenario, SEEDS[0]!);
+    expect(report.leastUsedShare < 0.7).toEqual(true);
+  });
+});
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -1,7 +1,11 @@
 /**
  * Leader election per availability zone and the services the leader provides.
  */
-export type {ServerFailure} from './lib/failure-exchange.js';
+export {FailureExchange} from './lib/failure-exchange.js';
+export type {
+  FailureExchangeOptions,
+  ServerFailure,
+} from './lib/failure-exchange.js';
 export {FeedRelay} from './lib/feed-relay.js';
 export {RelayedFeed} from './lib/relayed-feed.js';
 export type {Leader} from './lib/leader-row.js';
