Avoid failed servers for 1.8 s, so that recovered ones are used again

Callers saw orders fail in bursts while sound servers of svc-ordini got no request (6 of 16 for 2 s).

Cause: an instance avoided a failed server for up to 6 s, up to 9.6 s if it was told, and left servers with a failed trial out of its floor. All instances learn of the same failures, so all of them avoid the same servers at the same time. Operators count a server as sound 2 s after its last failure; for the rest of the avoidance it is sound and unused by the whole fleet.

The check of the simulated fleet now does the same; it took a server as sound only if that was so for the whole window. The naive variant also drops reported servers, because instances that were only told now return early enough to hide it.

The test of a failed trial that another instance reports now expects that the avoidance starts anew and ends after its duration; it expected a longer one.

--- a/packages/proofs/src/lib/gateway-fleet.ts
+++ b/packages/proofs/src/lib/gateway-fleet.ts
@@ -18,7 +18,7 @@
 
 export type GatewayVariant =
   | 'pooled'
-  /** Naive: an instance never uses a server again that failed there. */
+  /** Naive: an instance never uses a server again once it learned of a failure. */
   | 'never-returns';
 
 export interface GatewayFleetOptions {
@@ -123,7 +123,10 @@
     const exchange = FailureExchange.create({
       network: this.network.join({instanceId, availabilityZone, region}),
       election: this.electionOf(instance),
-      onFailure: ({serverId}) => state.recordReportedFailure(serverId),
+      onFailure: ({serverId}) => {
+        state.recordReportedFailure(serverId);
+        this.afterFailure(state, serverId);
+      },
     });
     const state = ServiceState.create({
       name: SERVICE,
@@ -219,10 +222,16 @@
       }
       const kind = state.classifyError(tookMs, TARGET_LATENCY_MS);
       state.recordFailure(record, kind, 'server answered 500');
-      if (this.options.variant === 'never-returns') state.remove(record);
+      this.afterFailure(state, record.serverId);
     }, tookMs);
   }
 
+  private afterFailure(state: ServiceState, failedId: string): void {
+    if (this.options.variant !== 'never-returns') return;
+    const record = state.records.find(({serverId}) => serverId === failedId);
+    if (record) state.remove(record);
+  }
+
   private drawWorkMs(): number {
     const normal =
       Math.sqrt(-2 * Math.log(1 - this.random())) *
--- a/packages/proofs/src/lib/gateway-floor.ts
+++ b/packages/proofs/src/lib/gateway-floor.ts
@@ -3,8 +3,9 @@
  * whole uses at least the floor share at any time.
  *
  * An operator counts a server that failed a request by itself as sound again
- * two seconds later. The servers that the instances use are counted together,
- * because each instance alone sends too few requests to use them all.
+ * two seconds later, and as unused if no request reached it in the last two
+ * seconds. The servers that the instances use are counted together, because each
+ * instance alone sends too few requests to use them all.
  */
 import {FakeTime} from './fake-time.js';
 import {GatewayFleet} from './gateway-fleet.js';
@@ -54,6 +55,11 @@
   /** End of that window, from the start of the run. */
   atMs: number;
   failedShare: number;
+  /**
+   * The greatest share of failed requests in any window, without the first one,
+   * in which all failing servers are found.
+   */
+  worstFailedShare: number;
 }
 
 /** Runs the scenario on a paused clock. */
@@ -109,11 +115,13 @@
   const endMs = startedAtMs + RUN_MS;
   let leastUsedShare = 1;
   let atMs = 0;
+  let worstFailedShare = 0;
   const firstMs = startedAtMs + SOUND_AFTER_FAILURE_MS;
   for (let fromMs = firstMs; fromMs + WINDOW_MS <= endMs; ) {
     const untilMs = fromMs + WINDOW_MS;
     const sound = fleet.servers.filter(
-      server => !server.failedBetween(fromMs - SOUND_AFTER_FAILURE_MS, fromMs),
+      server =>
+        !server.failedBetween(untilMs - SOUND_AFTER_FAILURE_MS, untilMs),
     );
     const used = sound.filter(server =>
       server.receivedBetween(fromMs, untilMs),
@@ -123,11 +131,24 @@
       leastUsedShare = usedShare;
       atMs = untilMs - startedAtMs;
     }
+    const share = failedShareBetween(fleet, fromMs, untilMs);
+    worstFailedShare = Math.max(worstFailedShare, share);
     fromMs += WINDOW_STEP_MS;
   }
-  const failed = fleet.requests.filter(({served}) => !served);
-  const failedShare = failed.length / fleet.requests.length;
-  return {leastUsedShare, atMs, failedShare};
+  const failedShare = failedShareBetween(fleet, startedAtMs, endMs);
+  return {leastUsedShare, atMs, failedShare, worstFailedShare};
+}
+
+function failedShareBetween(
+  fleet: GatewayFleet,
+  fromMs: number,
+  untilMs: number,
+): number {
+  const sent = fleet.requests.filter(
+    ({sentAtMs}) => sentAtMs >= fromMs && sentAtMs < untilMs,
+  );
+  const failed = sent.filter(({served}) => !served);
+  return failed.length / sent.length;
 }
 
 /** Rejects if the fleet used less than the floor share of the sound servers. */
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -9,16 +9,15 @@
 import {LatencyEstimate} from './latency-estimate.js';
 import {ServerPool} from './server-pool.js';
 
-// Duration of the first avoidance; each further one lasts longer. Gray failures
-// last 5 to 12 s, and each trial during one costs a request.
-const FIRST_AVOIDANCE_MS = 1800;
-const AVOIDANCE_GROWTH = 1.6;
-const MAX_AVOIDANCE_MS = 6000;
+// Each trial of a server that still fails costs a request. But operators count a
+// server as healthy again 2 s after its last failure, and all instances avoid it
+// at the same time, so that a longer avoidance leaves healthy servers unused.
+const AVOIDANCE_MS = 1800;
 // An instance that learned of a failure from another avoids the server longer, by
-// a random share of the duration between these bounds, so that normally only the
-// instance that observed the failure makes the trial.
-const REPORTED_DELAY_MIN = 0.15;
-const REPORTED_DELAY_MAX = 0.6;
+// a random share of the duration between these bounds, so that not all instances
+// make the trial at once.
+const REPORTED_DELAY_MIN = 0.02;
+const REPORTED_DELAY_MAX = 0.1;
 // Failures within this time of the first are of requests that were in flight when
 // the server began to fail, and give no new information.
 const SAME_FAILURE_WINDOW_MS = 1200;
@@ -57,7 +56,6 @@
   readonly latency = LatencyEstimate.create();
   inFlight = 0;
   private strikes = 0;
-  private avoidanceCount = 0;
   private avoidedAtMs = -Infinity;
   private avoidUntilMs = 0;
   private needsTrial = false;
@@ -119,7 +117,6 @@
       this.needsTrial = false;
       this.hasFailedTrial = false;
     }
-    if (this.strikes === 0) this.avoidanceCount = 0;
   }
 
   /** Returns whether this started or extended an avoidance. */
@@ -146,19 +143,14 @@
   }
 
   private avoid(nowMs: number, kind: FailureKind): void {
-    const durationMs = Math.min(
-      FIRST_AVOIDANCE_MS * AVOIDANCE_GROWTH ** this.avoidanceCount,
-      MAX_AVOIDANCE_MS,
-    );
     const delayShare =
       kind === 'reported'
         ? REPORTED_DELAY_MIN +
           (REPORTED_DELAY_MAX - REPORTED_DELAY_MIN) * this.random()
         : 0;
     this.hasFailedTrial ||= this.needsTrial && kind !== 'rejected';
-    this.avoidanceCount += 1;
     this.avoidedAtMs = nowMs;
-    this.avoidUntilMs = nowMs + durationMs * (1 + delayShare);
+    this.avoidUntilMs = nowMs + AVOIDANCE_MS * (1 + delayShare);
     this.needsTrial = true;
     // After the avoidance, one more failure is enough to start the next.
     this.strikes = AVOID_STRIKES / 2;
--- a/packages/upstream/src/test/server-record_test.ts
+++ b/packages/upstream/src/test/server-record_test.ts
@@ -11,8 +11,7 @@
 import {ServerRecord} from '../lib/server-record.js';
 import {catalogServerIn} from '../testing/catalog-server.js';
 
-const FIRST_AVOIDANCE_MS = 1800;
-const SECOND_AVOIDANCE_MS = 2880;
+const AVOIDANCE_MS = 1800;
 
 describe('server record', () => {
   let clock: Clock;
@@ -38,7 +37,7 @@
   it('is on trial after the avoidance until a request succeeds', () => {
     const record = recordIn('z1');
     record.recordFailure('error-status');
-    clock.tick(FIRST_AVOIDANCE_MS - 1);
+    clock.tick(AVOIDANCE_MS - 1);
     expect(isAvoided(record)).toEqual(true);
     clock.tick(1);
     expect(isAvoided(record)).toEqual(false);
@@ -51,7 +50,7 @@
     const record = recordIn('z1');
     record.recordFailure('error-status');
     record.recordSuccess();
-    clock.tick(FIRST_AVOIDANCE_MS);
+    clock.tick(AVOIDANCE_MS);
     expect(record.isOnTrial(performance.now())).toEqual(true);
   });
 
@@ -70,18 +69,20 @@
     clock.tick(100);
     record.recordFailure('error-status');
     record.recordFailure('reported');
-    clock.tick(FIRST_AVOIDANCE_MS - 100);
+    clock.tick(AVOIDANCE_MS - 100);
     expect(isAvoided(record)).toEqual(false);
   });
 
   it('is avoided longer when the trial of another instance failed', () => {
     const record = recordIn('z1');
     record.recordFailure('reported');
-    clock.tick(FIRST_AVOIDANCE_MS);
+    clock.tick(AVOIDANCE_MS);
     expect(isAvoided(record)).toEqual(true);
     record.recordFailure('reported');
-    clock.tick(SECOND_AVOIDANCE_MS);
+    clock.tick(AVOIDANCE_MS);
     expect(isAvoided(record)).toEqual(true);
+    clock.tick(AVOIDANCE_MS);
+    expect(isAvoided(record)).toEqual(false);
   });
 
   it('is avoided longer where the failure was only reported', () => {
@@ -116,7 +117,7 @@
       const near = recordIn('z1');
       const far = recordIn('z2');
       near.recordFailure('error-status');
-      clock.tick(FIRST_AVOIDANCE_MS);
+      clock.tick(AVOIDANCE_MS);
       expect(picker.pick([near, far], options)).toEqual(near);
       near.inFlight = 1;
       expect(picker.pick([near, far], options)).toEqual(far);
@@ -126,7 +127,7 @@
       const near = recordIn('z1');
       const far = recordIn('z2');
       near.recordFailure('error-status');
-      clock.tick(FIRST_AVOIDANCE_MS);
+      clock.tick(AVOIDANCE_MS);
       const pick = picker.pick([near, far], {...options, isRetry: true});
       expect(pick).toEqual(far);
     });
--- a/packages/upstream/src/test/server-return_test.ts
+++ b/packages/upstream/src/test/server-return_test.ts
@@ -10,9 +10,8 @@
 import type {FailureKind} from '../lib/server-record.js';
 import {catalogServerIn} from '../testing/catalog-server.js';
 
-// Operators count a server as sound 2 s after its last failure, and expect a
-// request within 2 s from then on.
-const MAX_UNUSED_MS = 4000;
+// Operators count a server as healthy 2 s after its last failure.
+const HEALTHY_AFTER_MS = 2000;
 const FAILURES = 8;
 
 describe('return of a failed server', () => {
@@ -34,7 +33,7 @@
       for (let failure = 0; failure < FAILURES; failure += 1) {
         record.recordFailure(kind);
         const avoidedMs = record.avoidedUntilMs - performance.now();
-        expect(avoidedMs > 0 && avoidedMs < MAX_UNUSED_MS).toEqual(true);
+        expect(avoidedMs > 0 && avoidedMs < HEALTHY_AFTER_MS).toEqual(true);
         clock.tick(avoidedMs);
       }
     });
