Break off responses that never end

A server that sends bytes without end held its request until the deadline, or, with a body over 256 KiB, kept the caller and its own connection busy for ever: the deadline ended with the first byte handed on, and the server was not blamed.

Cause: undici limits the size of headers and trailers, but not the reason phrase, a series of informational responses, chunk sizes and chunk extensions. A streamed response had no deadline, and its failure was not recorded.

Change: a connection counts the bytes that are not body and is closed when they pass 64 KiB plus 7 for each byte of body. A streamed response is broken off at the request's deadline. Both count as a fault of the server, unless the caller had read nothing for 500 ms. A streamed response whose caller has left before its first byte is released.

--- a/packages/gateway/src/lib/send-response.ts
+++ b/packages/gateway/src/lib/send-response.ts
@@ -19,7 +19,10 @@
   response: ServerResponse,
   upstreamResponse: UpstreamResponse,
 ): Promise<boolean> {
-  if (response.destroyed) return false;
+  if (response.destroyed) {
+    if (upstreamResponse.kind === 'streamed') upstreamResponse.body.destroy();
+    return false;
+  }
   if (upstreamResponse.kind === 'buffered') {
     sendBuffered(
       response,
--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -42,6 +42,8 @@
   /** Time until the caller's deadline, sent to the server. */
   remainingMs: number;
   headerNames: HeaderNames;
+  /** Called when a response failed after a part of it was handed on. */
+  onStreamFailed(reason: string): void;
   /** Called once when the connection is no longer in use. */
   onReleased(reusable: boolean): void;
 }
@@ -49,6 +51,8 @@
 // Responses up to this size are buffered and verified completely before the
 // caller gets a byte; larger ones are streamed.
 const MAX_BUFFERED_BYTES = 262_144;
+// A caller that reads nothing for this long delays the response by itself.
+const STALLED_CALLER_MS = 500;
 const MISDIRECTED_REQUEST = 421;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
@@ -67,8 +71,13 @@
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private stream: Readable | undefined;
+  /** Since when the server has to wait for the caller to read. */
+  private pausedSinceMs: number | undefined;
+  private deadlineTimer: NodeJS.Timeout | undefined;
+  private readonly deadlineAtMs: number;
 
   private constructor(private readonly options: AttemptOptions) {
+    this.deadlineAtMs = performance.now() + options.remainingMs;
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
@@ -117,8 +126,11 @@
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
     if (this.settled && !this.stream) return;
+    this.options.connection.addBodyBytes(chunk.length);
     if (this.stream) {
-      if (!this.stream.push(chunk)) this.controller?.pause();
+      if (this.stream.push(chunk)) return;
+      this.pausedSinceMs = performance.now();
+      this.controller?.pause();
       return;
     }
     this.chunks.push(chunk);
@@ -151,6 +163,7 @@
   private dispatch(): void {
     const {request, connection} = this.options;
     const {body} = request;
+    connection.startResponse();
     try {
       connection.client.dispatch(
         {
@@ -237,12 +250,18 @@
 
   private startStreaming(): void {
     const stream = new Readable({
-      read: () => this.controller?.resume(),
+      read: () => {
+        this.pausedSinceMs = undefined;
+        this.controller?.resume();
+      },
       destroy: (error, callback) => {
         if (!this.released) this.cancel();
         callback(error);
       },
     });
+    // Keeps an error before the first read from ending the process. The reader
+    // gets it as well.
+    stream.on('error', () => {});
     this.stream = stream;
     for (const chunk of this.chunks.splice(0)) stream.push(chunk);
     const headers = endToEndHeaders(this.rawHeaders, DROPPED_HEADERS);
@@ -255,6 +274,11 @@
       body: stream,
     };
     this.settle({kind: 'answered', response});
+    const remainingMs = Math.max(0, this.deadlineAtMs - performance.now());
+    this.deadlineTimer = setTimeout(
+      () => this.fail('the answer did not end by the deadline'),
+      remainingMs,
+    );
   }
 
   private hasDelimitedBody(): boolean {
@@ -284,6 +308,10 @@
 
   private fail(reason: string, isStaleConnection = false): void {
     const {stream} = this;
+    const isServersFault = !this.cancelled && !this.hasStalledCaller();
+    if (stream && !this.released && isServersFault) {
+      this.options.onStreamFailed(reason);
+    }
     this.settle(
       this.started
         ? {kind: 'failed', reason, isStaleConnection}
@@ -294,6 +322,11 @@
     stream?.destroy(new Error(reason));
   }
 
+  private hasStalledCaller(): boolean {
+    if (this.pausedSinceMs === undefined) return false;
+    return performance.now() - this.pausedSinceMs >= STALLED_CALLER_MS;
+  }
+
   private settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
@@ -303,6 +336,7 @@
   private release(reusable: boolean): void {
     if (this.released) return;
     this.released = true;
+    clearTimeout(this.deadlineTimer);
     this.options.onReleased(reusable);
   }
 }
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -294,6 +294,7 @@
       team: options.team,
       remainingMs,
       headerNames,
+      onStreamFailed: reason => state.recordFailure(record, 'fault', reason),
       onReleased: reusable => {
         record.inFlight -= 1;
         if (reusable) record.pool.release(connection);
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
+import {FramingMeter} from './framing-meter.js';
 
 // Connecting to a healthy server in the farthest region takes about 20 ms. A
 // request may try several unresponsive servers in a row, so the timeout is a
@@ -30,6 +31,7 @@
   /** The server closed its side. */
   hasEnded = false;
   private socket: Socket | undefined;
+  private readonly framing = FramingMeter.create();
 
   private constructor(host: string, port: number, onClosed: () => void) {
     this.client = new Client(`http://${host}:${port}`, {
@@ -58,6 +60,16 @@
     return this.socket !== undefined && !this.socket.destroyed;
   }
 
+  /** Starts counting the bytes of the next response. */
+  startResponse(): void {
+    this.framing.start(this.socket?.bytesRead ?? 0);
+  }
+
+  /** Counts bytes that belong to the body of the response. */
+  addBodyBytes(bytes: number): void {
+    this.framing.addBody(bytes);
+  }
+
   close(): void {
     this.client.destroy().catch(() => {
       // The requests on the connection have already been failed.
@@ -84,6 +96,9 @@
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       this.socket = socket;
+      // Registered before undici's listener, so that what is not read yet has not
+      // been parsed either.
+      socket.on('readable', () => this.checkFraming(socket));
       settle(null);
     });
     socket.on('error', error => {
@@ -98,4 +113,10 @@
     });
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
+
+  private checkFraming(socket: Socket): void {
+    const parsedBytes = socket.bytesRead - socket.readableLength;
+    if (!this.framing.isExceededAt(parsedBytes)) return;
+    socket.destroy(new Error('answer with too many bytes outside its body'));
+  }
 }
--- a/packages/upstream/src/testing/scripted-server.ts
+++ b/packages/upstream/src/testing/scripted-server.ts
@@ -50,6 +50,7 @@
   private accept(socket: Socket): void {
     this.sockets.add(socket);
     socket.on('error', () => {});
+    socket.once('close', () => this.sockets.delete(socket));
     let buffered = '';
     socket.on('data', chunk => {
       buffered += chunk.toString('latin1');
