Bound what is read of requests that never end

After a rejection that came before the end of a body, the rest was read for as long as it came, so that one caller held its connection for ever. Callers whose head is over the limit mostly lost the 431, because the connection was reset while they were still sending. A chunked body was taken up to 1 MiB even where the policy allows less.

Change: what follows a rejected or malformed request is discarded for at most 500 ms and 8 MiB, then the connection is closed. A malformed request that comes behind one without a response gets none, because the caller would take it for that response. The limit of the policy holds for buffered chunked bodies too.

Remaining: a head that comes slowly is closed by Node's check every 30 s, so up to 30 s after header_timeout_ms.

--- a/packages/gateway/src/lib/caller-body.ts
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -49,8 +49,9 @@
   const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
   const chunks: Buffer[] = [];
   let bufferedBytes = 0;
+  const maxBufferedBytes = Math.min(MAX_BUFFERED_BYTES, maxBytes);
   try {
-    while (bufferedBytes <= MAX_BUFFERED_BYTES) {
+    while (bufferedBytes <= maxBufferedBytes) {
       const chunk = await iterator.next();
       if (chunk.done) {
         const bytes = Buffer.concat(chunks);
@@ -63,6 +64,7 @@
     // The caller disconnected before the body was complete.
     return {kind: 'abandoned'};
   }
+  if (bufferedBytes > maxBytes) return {kind: 'too-large'};
   const stream = Readable.from(streamRemaining(chunks, iterator, maxBytes));
   return {kind: 'read', body: {kind: 'stream', stream}};
 }
--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -1,5 +1,5 @@
 /** Tracks the connections of callers and the open requests on each. */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 export interface OpenRequest {
@@ -8,6 +8,11 @@
   abandoned: AbortController;
 }
 
+// What a caller sends after its response is discarded within these bounds, so
+// that it can read the response: closing with unread bytes resets the connection.
+const MAX_DISCARD_MS = 500;
+const MAX_DISCARDED_BYTES = 8_388_608;
+
 export class CallerConnection {
   private readonly openRequests: OpenRequest[] = [];
   /** The current response closes the connection, or it is being closed. */
@@ -55,6 +60,48 @@
     this.socket.destroySoon();
   }
 
+  /** Discards the rest of a request that was answered before it was read. */
+  discardRest(request: IncomingMessage): void {
+    if (request.complete || this.socket.destroyed) return;
+    const stop = this.limitDiscarding(request);
+    request.once('close', stop);
+    request.resume();
+  }
+
+  /**
+   * Answers bytes that are no request and closes the connection. If an earlier
+   * request waits for its response, the connection is closed at once, because the
+   * caller would take the answer for that response.
+   */
+  rejectMalformed(statusLine: string): void {
+    const {socket} = this;
+    const isAnswerable = this.openRequests.every(
+      ({response}, index) => index === 0 && !response.headersSent,
+    );
+    if (!socket.writable || !isAnswerable) {
+      socket.destroy();
+      return;
+    }
+    this.closing = true;
+    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+    // The parser would fail again on what follows.
+    socket.removeAllListeners('data');
+    socket.once('close', this.limitDiscarding(socket));
+    socket.resume();
+  }
+
+  /** Closes the connection at the bounds; returns a function that ends this. */
+  private limitDiscarding(source: IncomingMessage | Socket): () => void {
+    const {socket} = this;
+    let bytes = 0;
+    const timer = setTimeout(() => socket.destroy(), MAX_DISCARD_MS);
+    source.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_DISCARDED_BYTES) socket.destroy();
+    });
+    return () => clearTimeout(timer);
+  }
+
   private abortOpenRequests(): void {
     for (const openRequest of this.openRequests) openRequest.abandoned.abort();
   }
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
+import type {Socket} from 'node:net';
 import type {ServiceBroker} from 'moleculer';
 import ApiGateway from 'moleculer-web';
 import type {CallerConnections} from './caller-connection.js';
@@ -31,6 +32,14 @@
   requestTimeout: 0,
 };
 
+// Responses to bytes that are no request, by the error of Node's parser.
+const MALFORMED_STATUS_LINES: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const DEFAULT_MALFORMED_STATUS_LINE = '400 Bad Request';
+
 interface GatewayService {
   server: Server;
 }
@@ -55,6 +64,14 @@
           this.server.on('connection', socket => {
             options.connections.getOrCreate(socket);
           });
+          this.server.on('clientError', (error, socket) => {
+            const {code = ''} = error as NodeJS.ErrnoException;
+            options.connections
+              .getOrCreate(socket as Socket)
+              .rejectMalformed(
+                MALFORMED_STATUS_LINES[code] ?? DEFAULT_MALFORMED_STATUS_LINE,
+              );
+          });
         },
       },
     });
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -119,9 +119,8 @@
     } finally {
       this.openRequestCount -= 1;
       connection.finish(openRequest);
-      // Drains an unread body, which would block the next request on the
-      // connection.
-      request.resume();
+      // An unread body would block the next request on the connection.
+      connection.discardRest(request);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/testing/index.ts
@@ -0,0 +1,3 @@
+/** Helpers for tests that start a gateway. */
+export {freePort} from './free-port.js';
+export {settingsText} from './settings-text.js';
