Answer only the earlier request when malformed bytes follow it

What callers saw: in the new test, a request that waited for its response got 400 when bytes that are no request followed it on the connection, though a server was running it.

Change: while a request that was read completely waits, the connection is no longer read, its response is sent, and the connection closes after it.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -69,23 +69,30 @@
   }
 
   /**
-   * Answers bytes that are no request and closes the connection. If an earlier
-   * request waits for its response, the connection is closed at once, because the
-   * caller would take the answer for that response.
+   * Answers bytes that are no request and closes the connection. While an earlier
+   * request waits for its response, only that is sent, because the caller would
+   * take the answer for it.
    */
   rejectMalformed(statusLine: string): void {
     const {socket} = this;
-    const isAnswerable = this.openRequests.every(
-      ({response}, index) => index === 0 && !response.headersSent,
-    );
-    if (!socket.writable || !isAnswerable) {
+    if (!socket.writable) {
       socket.destroy();
       return;
     }
     this.closing = true;
-    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
     // The parser would fail again on what follows.
     socket.removeAllListeners('data');
+    const last = this.openRequests.at(-1);
+    if (last && (last.response.headersSent || last.response.req.complete)) {
+      socket.pause();
+      last.response.once('finish', () => socket.destroySoon());
+      return;
+    }
+    if (this.openRequests.length > 1) {
+      socket.destroy();
+      return;
+    }
+    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
     socket.once('close', this.limitDiscarding(socket));
     socket.resume();
   }
--- a/packages/gateway/src/test/endless-request_test.ts
+++ b/packages/gateway/src/test/endless-request_test.ts
@@ -24,6 +24,7 @@
 const MAX_MEMORY_GROWTH_BYTES = 64 * 1024 * 1024;
 const MAX_BODY_BYTES = 4_000_000;
 const PIECE_BYTES = 65_536;
+const SLOW_MS = 200;
 
 const POLICY = `
 [policy]
@@ -113,6 +114,7 @@
 async function runAtServer(options: RunOptions): Promise<UpstreamOutcome> {
   const {body} = options.request;
   const attempts: [] = [];
+  if (options.request.target.endsWith('slow')) await delay(SLOW_MS);
   if (body.kind === 'stream') {
     try {
       for await (const chunk of body.stream) expect(chunk.length > 0);
@@ -250,6 +252,19 @@
     });
   }
 
+  // The caller would take an answer to the malformed bytes for the response to its
+  // first request, and a lost response may hide that a request has run.
+  it('answers a request that endless bytes follow', async () => {
+    const text = await sendWithoutEnd({
+      start: head('/reads/slow', 'Content-Length: 0\r\n'),
+      piece: '\0',
+      statuses: [],
+    });
+    expect(text.match(/HTTP\/1\.1 \d+/g)).toEqual(['HTTP/1.1 200']);
+    await delay(50);
+    expect(connections.size).toEqual(0);
+  });
+
   // A chunked body has no length that could be compared with the limit.
   it('rejects a chunked body that is over the limit of the policy', async () => {
     const text = await sendWithoutEnd(REQUESTS['chunked body']!);
