--- a/packages/proofs/src/lib/gateway-floor.ts
+++ b/packages/proofs/src/lib/gateway-floor.ts
@@ -31,9 +31,9 @@
 };
 
 const ZONES_BY_REGION = {
-  lombardia: ['como', 'bergamo', 'brescia'],
-  veneto: ['murano', 'verona', 'padova'],
-  piemonte: ['torino', 'biella', 'novara'],
+  r1: ['z1', 'z2', 'z3'],
+  r2: ['z4', 'z5', 'z6'],
+  r3: ['z7', 'z8', 'z9'],
 };
 const INSTANCES_PER_ZONE = 15;
 const SERVERS_PER_ZONE = 7;
--- a/packages/upstream/src/test/endless-response_test.ts
+++ b/packages/upstream/src/test/endless-response_test.ts
@@ -2,31 +2,23 @@
  * Guards against servers that send bytes without end: such a response must not
  * fill the memory, keep a connection open or look complete to the caller.
  */
-import {createLogger} from '@fireflytrack/telemetry';
 import {expect} from 'earl';
 import type {Socket} from 'node:net';
 import {finished} from 'node:stream/promises';
 import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, describe, it} from 'node:test';
-import {Upstream} from '../lib/upstream.js';
+import type {Upstream} from '../lib/upstream.js';
 import type {UpstreamOutcome} from '../lib/request-run.js';
-import {ScriptedServer, answerTo} from '../testing/scripted-server.js';
+import {answerTo} from '../testing/scripted-server.js';
+import type {ScriptedServer} from '../testing/scripted-server.js';
 import type {Script} from '../testing/scripted-server.js';
+import {SERVICE, ScriptedUpstream} from '../testing/scripted-upstream.js';
 
-const SERVICE = 'counting';
 const DEADLINE_MS = 1000;
 // Time for closing connections and for the event loop after the deadline.
 const CLOSE_WITHIN_MS = 500;
 const MAX_MEMORY_GROWTH_BYTES = 48 * 1024 * 1024;
 const PIECE_BYTES = 65_536;
-const HEADER_NAMES = {
-  requestId: 'request-id',
-  deadlineMs: 'deadline-ms',
-  expectedServer: 'expected-server',
-  team: 'team',
-  notExecuted: 'not-run',
-  signature: 'signature',
-};
 
 /** Writes `piece` as fast as the reader takes it, until the socket closes. */
 function writeWithoutEnd(socket: Socket, start: string, piece: string): void {
@@ -84,52 +76,19 @@
 };
 
 describe('endless response', () => {
-  const servers: ScriptedServer[] = [];
+  let scripted: ScriptedUpstream;
+  let servers: ScriptedServer[];
   let upstream: Upstream;
-  let failures: string[];
 
-  afterEach(() => {
-    upstream.close();
-    for (const server of servers.splice(0)) server.stop();
-  });
+  afterEach(() => scripted.stop());
 
   async function start(...scripts: Script[]): Promise<void> {
-    failures = [];
-    upstream = Upstream.create({
-      location: {availabilityZone: 'z1', region: 'r'},
-      regionOf: () => 'r',
-      headerNames: HEADER_NAMES,
-      retryBudgetFor: () => ({
-        recordRequest: () => {},
-        takeRetry: async () => true,
-      }),
-      instances: () => 1,
-      connectionLimitOf: () => 10,
-      floorShare: 0.7,
-      onFailure: ({serverId}) => failures.push(serverId),
-      logger: createLogger({level: 'error', silent: true}),
-    });
-    for (const [index, script] of scripts.entries()) {
-      const server = await ScriptedServer.start(script);
-      servers.push(server);
-      upstream.addServer({
-        report: {
-          serverId: `s${index}`,
-          startedAtMs: 1,
-          host: '127.0.0.1',
-          port: server.port,
-          service: SERVICE,
-          // The first server is nearer, so it is tried first.
-          availabilityZone: index === 0 ? 'z1' : 'z2',
-          softwareVersion: 'v1',
-          slots: 4,
-          state: 'ready',
-          warmupLeftMs: 0,
-        },
-        warmUntilMs: 0,
-        firstSeenAtMs: 0,
-      });
-    }
+    scripted = await ScriptedUpstream.start(scripts);
+    ({servers, upstream} = scripted);
+  }
+
+  function failedServers(): string[] {
+    return scripted.failures.map(({serverId}) => serverId);
   }
 
   function run(isIdempotent: boolean, requestId = 'r1') {
@@ -193,7 +152,7 @@
       await expectClosed(servers[0]!);
       const growth = process.memoryUsage().rss - memoryBefore;
       expect(growth < MAX_MEMORY_GROWTH_BYTES).toEqual(true);
-      expect(failures).toEqual(['s0']);
+      expect(failedServers()).toEqual(['s0']);
     });
 
     it(`sends a non-idempotent request once: ${name}`, async () => {
@@ -202,7 +161,7 @@
       expect(outcome.kind).toEqual('unknown');
       expect(servers[1]!.received.length).toEqual(0);
       await expectClosed(servers[0]!);
-      expect(failures).toEqual(['s0']);
+      expect(failedServers()).toEqual(['s0']);
     });
   }
 
@@ -220,7 +179,7 @@
         await expectClosed(servers[0]!);
         const growth = process.memoryUsage().rss - memoryBefore;
         expect(growth < MAX_MEMORY_GROWTH_BYTES).toEqual(true);
-        expect(failures).toEqual(['s0']);
+        expect(failedServers()).toEqual(['s0']);
       });
     }
 
@@ -248,6 +207,6 @@
     await delay(DEADLINE_MS);
     expect(await readUntilError(outcome)).toEqual(true);
     await expectClosed(servers[0]!);
-    expect(failures).toEqual([]);
+    expect(failedServers()).toEqual([]);
   });
 });
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -2,29 +2,15 @@
  * Guards against responses that are incomplete or belong to another request, and
  * against non-idempotent requests that run twice.
  */
-import {createLogger} from '@fireflytrack/telemetry';
 import {expect} from 'earl';
 import {afterEach, describe, it} from 'node:test';
-import {ScriptedServer, answerTo} from '../testing/scripted-server.js';
+import {answerTo} from '../testing/scripted-server.js';
+import type {ScriptedServer} from '../testing/scripted-server.js';
 import type {Script} from '../testing/scripted-server.js';
-import {Upstream} from '../lib/upstream.js';
-import type {RetryBudget} from '../lib/retry-budget.js';
+import {SERVICE, ScriptedUpstream} from '../testing/scripted-upstream.js';
+import type {Upstream} from '../lib/upstream.js';
 import type {RunOptions, UpstreamOutcome} from '../lib/request-run.js';
 
-const SERVICE = 'counting';
-const UNLIMITED: RetryBudget = {
-  recordRequest: () => {},
-  takeRetry: async () => true,
-};
-const HEADER_NAMES = {
-  requestId: 'request-id',
-  deadlineMs: 'deadline-ms',
-  expectedServer: 'expected-server',
-  team: 'team',
-  notExecuted: 'not-run',
-  signature: 'signature',
-};
-
 function chunkedHead(requestId: string): string {
   return (
     `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSignature: good\r\n` +
@@ -33,47 +19,15 @@
 }
 
 describe('request run', () => {
-  const servers: ScriptedServer[] = [];
+  let scripted: ScriptedUpstream;
+  let servers: ScriptedServer[];
   let upstream: Upstream;
 
-  afterEach(() => {
-    upstream.close();
-    for (const server of servers.splice(0)) server.stop();
-  });
+  afterEach(() => scripted.stop());
 
   async function start(...scripts: Script[]): Promise<void> {
-    upstream = Upstream.create({
-      location: {availabilityZone: 'z1', region: 'r'},
-      regionOf: () => 'r',
-      headerNames: HEADER_NAMES,
-      retryBudgetFor: () => UNLIMITED,
-      instances: () => 1,
-      connectionLimitOf: () => 10,
-      floorShare: 0.7,
-      onFailure: () => {},
-      logger: createLogger({level: 'error', silent: true}),
-    });
-    for (const [index, script] of scripts.entries()) {
-      const server = await ScriptedServer.start(script);
-      servers.push(server);
-      upstream.addServer({
-        report: {
-          serverId: `s${index}`,
-          startedAtMs: 1,
-          host: '127.0.0.1',
-          port: server.port,
-          service: SERVICE,
-          // The first server is nearer, so it is tried first.
-          availabilityZone: index === 0 ? 'z1' : 'z2',
-          softwareVersion: 'v1',
-          slots: 4,
-          state: 'ready',
-          warmupLeftMs: 0,
-        },
-        warmUntilMs: 0,
-        firstSeenAtMs: 0,
-      });
-    }
+    scripted = await ScriptedUpstream.start(scripts);
+    ({servers, upstream} = scripted);
   }
 
   function run(change: Partial<RunOptions> = {}): Promise<UpstreamOutcome> {
--- /dev/null
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -0,0 +1,72 @@
+/** An upstream whose servers are scripted; the first one is tried first. */
+import {createLogger} from '@fireflytrack/telemetry';
+import {Upstream} from '../lib/upstream.js';
+import type {ObservedFailure} from '../lib/upstream.js';
+import {ScriptedServer} from './scripted-server.js';
+import type {Script} from './scripted-server.js';
+
+export const SERVICE = 'counting';
+
+export class ScriptedUpstream {
+  readonly servers: ScriptedServer[] = [];
+  readonly failures: ObservedFailure[] = [];
+  readonly upstream: Upstream;
+
+  private constructor() {
+    this.upstream = Upstream.create({
+      location: {availabilityZone: 'z1', region: 'r'},
+      regionOf: () => 'r',
+      headerNames: {
+        requestId: 'request-id',
+        deadlineMs: 'deadline-ms',
+        expectedServer: 'expected-server',
+        team: 'team',
+        notExecuted: 'not-run',
+        signature: 'signature',
+      },
+      retryBudgetFor: () => ({
+        recordRequest: () => {},
+        takeRetry: async () => true,
+      }),
+      instances: () => 1,
+      connectionLimitOf: () => 10,
+      floorShare: 0.7,
+      onFailure: failure => this.failures.push(failure),
+      logger: createLogger({level: 'error', silent: true}),
+    });
+  }
+
+  static async start(scripts: readonly Script[]): Promise<ScriptedUpstream> {
+    const scripted = new ScriptedUpstream();
+    for (const script of scripts) await scripted.add(script);
+    return scripted;
+  }
+
+  stop(): void {
+    this.upstream.close();
+    for (const server of this.servers.splice(0)) server.stop();
+  }
+
+  private async add(script: Script): Promise<void> {
+    const index = this.servers.length;
+    const server = await ScriptedServer.start(script);
+    this.servers.push(server);
+    this.upstream.addServer({
+      report: {
+        serverId: `s${index}`,
+        startedAtMs: 1,
+        host: '127.0.0.1',
+        port: server.port,
+        service: SERVICE,
+        // The first server is nearer, so it is tried first.
+        availabilityZone: index === 0 ? 'z1' : 'z2',
+        softwareVersion: 'v1',
+        slots: 4,
+        state: 'ready',
+        warmupLeftMs: 0,
+      },
+      warmUntilMs: 0,
+      firstSeenAtMs: 0,
+    });
+  }
+}
