Grant each request to a limited server for the whole fleet

What callers saw: nothing directly; a server in need, which had named a limit of requests per second, got 12 to 18 requests in 4 s where 11 or 12 were allowed, from many instances at once.

Cause: no instance acted on the limit, and none could keep it alone: at a limit of 1 a second each of 40 instances would have a request every 40 s.

Class: a bound on the whole fleet that each instance applies to itself, or not at all. Now one zone leader per service, derived from the service's name, grants each request to its limited servers; instances ask the leader of their zone, which forwards to the owner. All instances learn of a limit within a few messages, and new ones from the leader that they follow. While no server names a limit nothing is sent. Without a grant the best server without a limit takes the request; if there is none, it is refused at once, with successive times to return; important requests and teams that use less than their part go first. A new leader grants half for one window, deputies a fifth, and an isolated instance its part of a quarter in whole requests, so that all of them together stay within the bound.

--- a/packages/cli/src/lib/explain-command.ts
+++ b/packages/cli/src/lib/explain-command.ts
@@ -25,8 +25,8 @@
   /** Lines of the request, oldest first. */
   lines: LogLine[];
   /**
-   * Lines of the same instances about servers that the request used, from the
-   * 10 s before its last line.
+   * Lines of the same instances about servers that the request used or was turned
+   * away from, from the 10 s before its last line.
    */
   context: LogLine[];
   /** Number of input lines that are not log lines. */
@@ -110,7 +110,11 @@
 
 function findContext(lines: LogLine[], candidates: LogLine[]): LogLine[] {
   const servers = new Set(
-    lines.flatMap(line => [line['server'], ...toArray(line['tried'])]),
+    lines.flatMap(line => [
+      line['server'],
+      ...toArray(line['tried']),
+      ...toArray(line['turnedAway']),
+    ]),
   );
   const instances = new Set(lines.map(line => line.instance));
   const lastMs = Math.max(...lines.map(parseTimestampMs));
--- a/packages/gateway/src/lib/freshness-lease.ts
+++ b/packages/gateway/src/lib/freshness-lease.ts
@@ -1,20 +1,9 @@
 /**
  * Tracks how long ago the store last confirmed the local copy of its data. A
  * process may act on keys and routes only while that age is bounded.
- *
- * The age is the larger advance of the monotonic and the wall clock: the
- * monotonic clock may stop while the process is suspended, and the wall clock
- * may be set back.
  */
-
-export interface ClockReading {
-  monotonicMs: number;
-  wallMs: number;
-}
-
-export function readClocks(): ClockReading {
-  return {monotonicMs: performance.now(), wallMs: Date.now()};
-}
+import {elapsedSince} from '@fireflytrack/time';
+import type {ClockReading} from '@fireflytrack/time';
 
 export class FreshnessLease {
   private confirmed: ClockReading | undefined;
@@ -40,10 +29,7 @@
   ageMs(): number {
     const {confirmed} = this;
     if (!confirmed) return Infinity;
-    const now = readClocks();
-    const monotonicAgeMs = now.monotonicMs - confirmed.monotonicMs;
-    const wallAgeMs = now.wallMs - confirmed.wallMs;
-    return Math.max(monotonicAgeMs, wallAgeMs, 0);
+    return elapsedSince(confirmed);
   }
 
   /**
--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -14,6 +14,7 @@
   serverBeliefs(): ServerBeliefs;
   serversReadmitted(): number;
   serversLimited(): number;
+  turnedAway(): number;
   isZoneLeader(): boolean;
 }
 
@@ -100,15 +101,29 @@
         this.set({belief: 'trusted'}, trusted);
       },
     });
-    new Counter({
-      name: 'fireflytrack_servers_readmitted_total',
-      help: 'Avoidances of backend servers that the floor ended early.',
-      registers,
-      collect() {
-        this.reset();
-        this.inc(readers.serversReadmitted());
-      },
-    });
+    const counters: [string, string, () => number][] = [
+      [
+        'servers_readmitted_total',
+        'Avoidances of backend servers that the floor ended early.',
+        readers.serversReadmitted,
+      ],
+      [
+        'limit_turned_away_total',
+        'Choices of backend servers that were not made because of a limit.',
+        readers.turnedAway,
+      ],
+    ];
+    for (const [name, help, read] of counters) {
+      new Counter({
+        name: `fireflytrack_${name}`,
+        help,
+        registers,
+        collect() {
+          this.reset();
+          this.inc(read());
+        },
+      });
+    }
   }
 
   static create(readers: GaugeReaders): GatewayMetrics {
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -7,16 +7,16 @@
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {RateLimitedLog, StateDump} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
-import {Upstream} from '@fireflytrack/upstream';
+import {KnownLimits, Upstream} from '@fireflytrack/upstream';
 import type {HeaderNames} from '@fireflytrack/upstream';
 import {FeedRelay, RelayedFeed, ZoneMember} from '@fireflytrack/zone';
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
-import {sleep} from '@fireflytrack/time';
+import {readClocks, sleep} from '@fireflytrack/time';
 import {CallerConnections} from './caller-connection.js';
 import {CallerServer} from './caller-server.js';
-import {FreshnessLease, readClocks} from './freshness-lease.js';
+import {FreshnessLease} from './freshness-lease.js';
 import {RequestHandler} from './request-handler.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {PolicyHolder, RELAY_AGE_LIMIT_MS} from './policy-holder.js';
@@ -71,6 +71,7 @@
   private readonly serverLease = FreshnessLease.create();
   private serverCallSentAt = readClocks();
   private readonly upstream: Upstream;
+  private readonly limits: KnownLimits;
   private readonly zone: ZoneMember;
   private readonly requestHandler: RequestHandler;
   private readonly broker: ServiceBroker;
@@ -111,6 +112,7 @@
       () => this.serverLease.ageMs(),
     );
     const headerNames = toHeaderNames(settings);
+    this.limits = KnownLimits.create(logger);
     this.upstream = Upstream.create({
       location: {
         availabilityZone: instance.availability_zone,
@@ -123,6 +125,12 @@
       connectionLimitOf: service =>
         this.policies.current()?.findService(service)?.maxConnectionsPerServer,
       floorShare: promises.floor_share,
+      limits: this.limits,
+      grants: {
+        requestGrant: request => this.zone.limitGrants.requestGrant(request),
+        announce: (server, limit) =>
+          this.zone.limitGrants.announce(server, limit),
+      },
       onFailure: failure => this.zone.reportFailure(failure),
       logger,
     });
@@ -174,6 +182,8 @@
         zones: instance.zones.size,
       },
       findTeam: name => this.policies.current()?.findTeam(name),
+      limits: this.limits,
+      estimateInstances: () => this.estimatedInstances,
       relays: [
         {feed: policyFeed, relay: this.policies.relay},
         {feed: serverFeed, relay: serverRelay},
@@ -189,7 +199,8 @@
       servers: () => this.catalog.allServers().length,
       serverBeliefs: () => this.upstream.countBeliefs(),
       serversReadmitted: () => this.upstream.readmissions,
-      serversLimited: () => this.upstream.knownLimits.length,
+      serversLimited: () => this.limits.size,
+      turnedAway: () => this.upstream.turnedAway,
       isZoneLeader: () => this.zone.isLeader,
     });
     this.requestHandler = RequestHandler.create({
@@ -218,7 +229,7 @@
     });
     this.metricsServer = createMetricsServer(settings, metrics);
     this.dump.register('servers', () => this.upstream.dumpState());
-    this.dump.register('server limits', () => this.upstream.knownLimits);
+    this.dump.register('server limits', () => this.limits.list());
     this.dump.register('zone', () => this.zone.state());
     this.dump.register('policy', () => ({
       version: this.policies.current()?.version,
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -10,8 +10,9 @@
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import type {Logger} from '@fireflytrack/telemetry';
 import {FeedRelay} from '@fireflytrack/zone';
-import {FreshnessLease, readClocks} from './freshness-lease.js';
-import type {ClockReading} from './freshness-lease.js';
+import {readClocks} from '@fireflytrack/time';
+import type {ClockReading} from '@fireflytrack/time';
+import {FreshnessLease} from './freshness-lease.js';
 
 export interface PolicyHolderOptions {
   /** The feed that delivers changes. */
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -56,6 +56,8 @@
   route?: TrafficRoute | undefined;
   team?: TeamPolicy | undefined;
   attempts: AttemptReport[];
+  /** Servers that were not used because they are at their limits. */
+  turnedAway: string[];
 }
 
 type Admission =
@@ -130,6 +132,7 @@
       requestId: String(request.headers[requestId] ?? ''),
       startedAtMs: performance.now(),
       attempts: [],
+      turnedAway: [],
     };
   }
 
@@ -160,13 +163,16 @@
       openRequest.response.shouldKeepAlive = false;
       return {code: 'body-too-slow', reason: 'the body took too long'};
     }
-    if (read.kind === 'abandoned') return {kind: 'abandoned', attempts: []};
+    if (read.kind === 'abandoned') {
+      return {kind: 'abandoned', attempts: [], turnedAway: []};
+    }
     const limited = await this.checkRateLimit(team);
     if (limited) return limited;
     const outcome = await this.options.upstream.run({
       service: table.chooseService(route),
       request: this.toUpstreamRequest(request, read.body),
       team: team?.name,
+      rank: team?.rank ?? route.rank,
       isIdempotent: route.execution === 'idempotent',
       maxAttempts: route.maxAttempts,
       targetLatencyMs: route.targetLatencyMs,
@@ -310,6 +316,7 @@
       return;
     }
     trace.attempts = outcome.attempts;
+    trace.turnedAway = outcome.turnedAway;
     if (outcome.kind === 'answered') {
       const {response: upstreamResponse, serverId: server} = outcome;
       const complete = await sendUpstreamResponse(response, upstreamResponse);
@@ -332,8 +339,8 @@
     }
     const rejection = toRejection(outcome);
     sendRejection(response, rejection);
-    const {code, reason} = rejection;
-    this.recordOutcome(code, `rejected ${code}`, trace, {reason});
+    const {code, reason, retryAfterMs} = rejection;
+    this.recordOutcome(code, `rejected ${code}`, trace, {reason, retryAfterMs});
   }
 
   /** Logs a finished request and updates the metrics. */
@@ -344,7 +351,7 @@
     fields: Record<string, unknown>,
   ): void {
     const {log, metrics, policies} = this.options;
-    const {requestId, startedAtMs, route, team, attempts} = trace;
+    const {requestId, startedAtMs, route, team, attempts, turnedAway} = trace;
     const tookMs = Math.round(performance.now() - startedAtMs);
     metrics.recordRequest(outcome, tookMs, attempts.length);
     log.write('info', kind, {
@@ -355,6 +362,7 @@
       tookMs,
       tried: attempts.map(attempt => attempt.server),
       attempts,
+      turnedAway: turnedAway.length > 0 ? turnedAway : undefined,
       policyVersion: policies.current()?.version,
       policyAgeMs: Math.round(policies.lease.ageMs()),
     });
@@ -369,7 +377,7 @@
       return {
         code: 'not-run',
         reason: outcome.reason,
-        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+        retryAfterMs: outcome.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
       };
     case 'unknown':
       return {code: 'outcome-unknown', reason: outcome.reason};
--- a/packages/gateway/src/test/endless-request_test.ts
+++ b/packages/gateway/src/test/endless-request_test.ts
@@ -119,7 +119,7 @@
     try {
       for await (const chunk of body.stream) expect(chunk.length > 0);
     } catch (error) {
-      return {kind: 'unknown', reason: String(error), attempts};
+      return {kind: 'unknown', reason: String(error), attempts, turnedAway: []};
     }
   }
   return {
@@ -127,6 +127,7 @@
     response: {kind: 'buffered', status: 200, headers: [], body: Buffer.of()},
     serverId: 's1',
     attempts,
+    turnedAway: [],
   };
 }
 
@@ -177,6 +178,7 @@
         }),
         serversReadmitted: () => 0,
         serversLimited: () => 0,
+        turnedAway: () => 0,
         isZoneLeader: () => false,
       }),
       log: RateLimitedLog.create({logger, linesPerSecond: 5}),
--- a/packages/gateway/src/test/freshness-lease_test.ts
+++ b/packages/gateway/src/test/freshness-lease_test.ts
@@ -3,7 +3,8 @@
 import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'earl';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {FreshnessLease, readClocks} from '../lib/freshness-lease.js';
+import {readClocks} from '@fireflytrack/time';
+import {FreshnessLease} from '../lib/freshness-lease.js';
 
 describe('freshness lease', () => {
   let clock: Clock;
--- a/packages/proofs/src/lib/gateway-fleet.ts
+++ b/packages/proofs/src/lib/gateway-fleet.ts
@@ -13,6 +13,7 @@
 import {FailureExchange} from '@fireflytrack/zone';
 import type {FailureExchangeOptions, Leader} from '@fireflytrack/zone';
 import {SimulatedServer} from './gateway-fleet-server.js';
+import {catalogEntryOf, leaderRowOf} from './fleet-fixtures.js';
 import {exponentialMs, seededRandom} from './health-random.js';
 import type {Random} from './health-random.js';
 
@@ -140,7 +141,7 @@
     for (const server of this.servers) {
       state.add(
         ServerRecord.create(
-          toCatalogServer(server),
+          catalogEntryOf(server, SERVICE),
           () => CONNECTIONS_PER_SERVER,
           this.random,
         ),
@@ -173,10 +174,10 @@
       },
       get reachableLeader(): Leader | undefined {
         const leader = ownLeader();
-        return leader && leader !== instance ? toLeader(leader) : undefined;
+        return leader && leader !== instance ? leaderRowOf(leader) : undefined;
       },
       get otherLeaders(): Leader[] {
-        return otherLeaders().map(toLeader);
+        return otherLeaders().map(leaderRowOf);
       },
       connect: async () => true,
     };
@@ -240,37 +241,3 @@
     return medianMs * Math.exp(WORK_SPREAD * normal);
   }
 }
-
-function toLeader(instance: SimulatedInstance): Leader {
-  const {instanceId, availabilityZone, region} = instance;
-  return {
-    instanceId,
-    lifeId: instanceId,
-    availabilityZone,
-    region,
-    host: '10.0.0.1',
-    port: 7100,
-    instances: 1,
-  };
-}
-
-function toCatalogServer(
-  server: SimulatedServer,
-): Parameters<typeof ServerRecord.create>[0] {
-  return {
-    report: {
-      serverId: server.serverId,
-      startedAtMs: 1,
-      host: '127.0.0.1',
-      port: 9,
-      service: SERVICE,
-      availabilityZone: server.availabilityZone,
-      softwareVersion: 'v1',
-      slots: 6,
-      state: 'ready',
-      warmupLeftMs: 0,
-    },
-    warmUntilMs: 0,
-    firstSeenAtMs: 0,
-  };
-}
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -6,6 +6,13 @@
   RunOptions,
   UpstreamOutcome,
 } from './lib/request-run.js';
+export {KnownLimits} from './lib/known-limits.js';
+export type {KnownLimit, ServerRun} from './lib/known-limits.js';
+export type {
+  GrantDecision,
+  GrantRequest,
+  LimitGrants,
+} from './lib/limit-grants.js';
 export type {RetryBudget, RetryCause} from './lib/retry-budget.js';
 export type {Location} from './lib/server-picker.js';
 export type {ServerBeliefs} from './lib/service-state.js';
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -9,8 +9,10 @@
 import {Attempt} from './attempt.js';
 import type {AttemptResult} from './attempt.js';
 import type {KnownLimits} from './known-limits.js';
+import type {LimitGrants} from './limit-grants.js';
+import type {LimitReading} from './server-limit.js';
 import type {RetryCause} from './retry-budget.js';
-import type {ServerPicker} from './server-picker.js';
+import type {Choice, ServerChooser} from './server-chooser.js';
 import type {ServerRecord} from './server-record.js';
 import type {ServiceState} from './service-state.js';
 import type {UpstreamResponse, UpstreamRequest} from './upstream-request.js';
@@ -19,6 +21,8 @@
   service: string;
   request: UpstreamRequest;
   team: string | undefined;
+  /** Priority; 0 is the most important. */
+  rank: number;
   /** Whether the request may be run more than once. */
   isIdempotent: boolean;
   /** Maximum number of servers that the request is sent to. */
@@ -38,10 +42,14 @@
   tookMs: number;
 }
 
-export type UpstreamOutcome = {attempts: AttemptReport[]} & (
+export type UpstreamOutcome = {
+  attempts: AttemptReport[];
+  /** Servers that were not used because they are at their limits. */
+  turnedAway: string[];
+} & (
   | {kind: 'answered'; response: UpstreamResponse; serverId: string}
   /** The request has not run and will not run. */
-  | {kind: 'not-run'; reason: string}
+  | {kind: 'not-run'; reason: string; retryAfterMs?: number}
   /** The request may have run; there is no response to forward. */
   | {kind: 'unknown'; reason: string}
   /** The deadline passed after the request was sent. */
@@ -51,9 +59,10 @@
 
 export interface RunContext {
   state: ServiceState;
-  picker: ServerPicker;
   headerNames: HeaderNames;
   limits: KnownLimits;
+  grants: LimitGrants;
+  chooser: ServerChooser;
   logger: Logger;
 }
 
@@ -73,6 +82,7 @@
   | {kind: 'finished'; finished: FinishedAttempt}
   | {kind: 'slow'}
   | {kind: 'retry-decided'; granted: boolean}
+  | {kind: 'chosen'; choice: Choice; pending: Promise<RunEvent>}
   | {kind: 'deadline'}
   | {kind: 'abandoned'};
 
@@ -103,6 +113,11 @@
   private hedged = false;
   /** Request for a retry that the budget has not decided yet. */
   private pendingRetry: Promise<RunEvent> | undefined;
+  /** Choices of a server that wait for a grant. */
+  private readonly pendingChoices = new Set<Promise<RunEvent>>();
+  private readonly turnedAway = new Set<string>();
+  /** When a server may have room, if all were at their limits. */
+  private retryAfterMs: number | undefined;
   /** An attempt failed while a retry for slowness was pending. */
   private failedWhilePending = false;
   private lastReason = 'no server of the service is known';
@@ -123,8 +138,7 @@
     try {
       this.startAttempt();
       for (;;) {
-        if (this.running.size === 0 && !this.pendingRetry)
-          return this.conclude();
+        if (!this.isUnderWay) return this.conclude();
         const event = await this.nextEvent(ended);
         const outcome = this.handleEvent(event);
         if (outcome) return outcome;
@@ -138,7 +152,7 @@
   private handleEvent(event: RunEvent): UpstreamOutcome | undefined {
     switch (event.kind) {
       case 'abandoned':
-        return {kind: 'abandoned', attempts: this.collectReports()};
+        return {kind: 'abandoned', ...this.collectReports()};
       case 'deadline':
         return this.conclude('deadline passed');
       case 'slow':
@@ -148,6 +162,10 @@
         this.pendingRetry = undefined;
         this.onRetryDecided(event.granted);
         return undefined;
+      case 'chosen':
+        this.pendingChoices.delete(event.pending);
+        this.useChoice(event.choice);
+        return undefined;
       case 'finished':
         return this.onFinished(event.finished);
     }
@@ -200,8 +218,8 @@
     if (isProcessedStatus(status)) {
       state.recordResponse(record, latencyMs, targetLatencyMs);
       record.recordSuccess();
-      const attempts = this.collectReports();
-      return {kind: 'answered', response, serverId, attempts};
+      const reports = this.collectReports();
+      return {kind: 'answered', response, serverId, ...reports};
     }
     this.mayHaveRun = true;
     this.lastReason = `server answered ${status}`;
@@ -218,8 +236,8 @@
   }
 
   private conclude(deadlineReason?: string): UpstreamOutcome {
-    const attempts = this.collectReports();
-    if (this.fallback) return {kind: 'answered', ...this.fallback, attempts};
+    const reports = this.collectReports();
+    if (this.fallback) return {kind: 'answered', ...this.fallback, ...reports};
     const {mayHaveBeenSent} = this;
     const reason = deadlineReason ?? this.lastReason;
     if (deadlineReason !== undefined && (mayHaveBeenSent || this.mayHaveRun)) {
@@ -230,16 +248,32 @@
           'no answer by the deadline',
         );
       }
-      return {kind: 'deadline', attempts};
+      return {kind: 'deadline', ...reports};
     }
     if (this.mayHaveRun || mayHaveBeenSent)
-      return {kind: 'unknown', reason, attempts};
-    return {kind: 'not-run', reason, attempts};
+      return {kind: 'unknown', reason, ...reports};
+    const {retryAfterMs} = this;
+    return {
+      kind: 'not-run',
+      reason,
+      ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+      ...reports,
+    };
   }
 
-  private collectReports(): AttemptReport[] {
+  private collectReports(): Pick<UpstreamOutcome, 'attempts' | 'turnedAway'> {
     const open = [...this.running].map(running => toReport(running, undefined));
-    return [...this.reports, ...open];
+    const attempts = [...this.reports, ...open];
+    return {attempts, turnedAway: [...this.turnedAway]};
+  }
+
+  /** Whether an attempt is running or may still start. */
+  private get isUnderWay(): boolean {
+    return (
+      this.running.size > 0 ||
+      this.pendingRetry !== undefined ||
+      this.pendingChoices.size > 0
+    );
   }
 
   /** Whether a server may have received one of the running attempts. */
@@ -250,7 +284,7 @@
   /** Requests one more attempt from the budget, unless one is pending. */
   private requestRetry(cause: RetryCause): void {
     const {maxAttempts, request} = this.options;
-    if (this.sentAttempts >= maxAttempts) return;
+    if (this.sentAttempts + this.pendingChoices.size >= maxAttempts) return;
     if (request.body.kind === 'stream') return;
     if (this.pendingRetry) {
       this.failedWhilePending ||= cause === 'failure';
@@ -271,20 +305,52 @@
   }
 
   private startAttempt(): void {
-    const {options, context} = this;
-    const {state, picker, headerNames} = context;
-    const remainingMs = options.deadlineAtMs - performance.now();
-    if (remainingMs < 1) return;
-    const {targetLatencyMs} = options;
+    const {state, chooser} = this.context;
+    if (this.remainingMs < 1) return;
+    const {targetLatencyMs, team, rank} = this.options;
     const baselineMs = state.baselineMs(targetLatencyMs);
-    const record = picker.pick(state.records, {
-      targetLatencyMs,
-      baselineMs,
-      tried: this.tried,
-      isRetry: this.tried.size > 0,
-    });
-    const connection = record?.pool.acquire(this.maxIdleMs(record));
-    if (!record || !connection) return;
+    const choice = chooser.choose(
+      state.records,
+      {
+        targetLatencyMs,
+        baselineMs,
+        tried: this.tried,
+        isRetry: this.tried.size > 0,
+      },
+      {team, rank},
+    );
+    if (!(choice instanceof Promise)) {
+      this.useChoice(choice);
+      return;
+    }
+    const pending: Promise<RunEvent> = choice.then(chosen => ({
+      kind: 'chosen',
+      choice: chosen,
+      pending,
+    }));
+    this.pendingChoices.add(pending);
+  }
+
+  private useChoice(choice: Choice): void {
+    if (choice.kind === 'none') return;
+    for (const serverId of choice.turnedAway) this.turnedAway.add(serverId);
+    if (choice.kind === 'at-limit') {
+      this.lastReason = choice.reason;
+      this.retryAfterMs = choice.retryAfterMs;
+      return;
+    }
+    if (this.remainingMs >= 1) this.sendTo(choice.record);
+  }
+
+  private get remainingMs(): number {
+    return this.options.deadlineAtMs - performance.now();
+  }
+
+  private sendTo(record: ServerRecord): void {
+    const {options, context, remainingMs} = this;
+    const {state, headerNames} = context;
+    const connection = record.pool.acquire(this.maxIdleMs(record));
+    if (!connection) return;
     this.tried.add(record);
     this.sentAttempts += 1;
     record.inFlight += 1;
@@ -296,8 +362,7 @@
       team: options.team,
       remainingMs,
       headerNames,
-      onLimitRead: reading =>
-        context.limits.applyResponse(record.run, reading, startedAtMs),
+      onLimitRead: reading => this.onLimitRead(record, reading, startedAtMs),
       onStreamFailed: reason => state.recordFailure(record, 'fault', reason),
       onReleased: reusable => {
         record.inFlight -= 1;
@@ -314,6 +379,17 @@
     this.running.add(running);
   }
 
+  private onLimitRead(
+    record: ServerRecord,
+    reading: LimitReading,
+    sentAtMs: number,
+  ): void {
+    const {limits, grants} = this.context;
+    const {run} = record;
+    if (!limits.applyResponse(run, reading, sentAtMs)) return;
+    grants.announce(run, limits.find(run)?.requestsPerSecond);
+  }
+
   /** Maximum idle time of a reused connection to the server. */
   private maxIdleMs(record: ServerRecord): number {
     if (!record.trustsIdleConnections(performance.now())) {
@@ -327,6 +403,7 @@
   private async nextEvent(ended: Promise<RunEvent>): Promise<RunEvent> {
     const waits: Promise<RunEvent>[] = [ended];
     if (this.pendingRetry) waits.push(this.pendingRetry);
+    waits.push(...this.pendingChoices);
     for (const {done} of this.running) {
       waits.push(done.then(finished => ({kind: 'finished', finished})));
     }
--- a/packages/upstream/src/lib/server-picker.ts
+++ b/packages/upstream/src/lib/server-picker.ts
@@ -20,6 +20,11 @@
   isRetry: boolean;
 }
 
+export interface RankedServer {
+  record: ServerRecord;
+  score: number;
+}
+
 // Penalties in multiples of the latency objective, which are added to the
 // expected latency. These two are for distance.
 const OTHER_ZONE_PENALTY = 0.5;
@@ -69,6 +74,15 @@
     return best;
   }
 
+  /** Returns the servers with a free connection, the best one first. */
+  rank(records: readonly ServerRecord[], options: PickOptions): RankedServer[] {
+    const nowMs = performance.now();
+    return records
+      .filter(record => record.pool.hasCapacity)
+      .map(record => ({record, score: this.score(record, options, nowMs)}))
+      .sort((a, b) => a.score - b.score);
+  }
+
   private score(
     record: ServerRecord,
     options: PickOptions,
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -5,11 +5,12 @@
 import type {CatalogServer} from '@fireflytrack/discovery';
 import type {Logger} from '@fireflytrack/telemetry';
 import type {HeaderNames} from './http-conventions.js';
-import {KnownLimits} from './known-limits.js';
-import type {KnownLimit} from './known-limits.js';
+import type {KnownLimits} from './known-limits.js';
+import type {LimitGrants} from './limit-grants.js';
 import {RequestRun} from './request-run.js';
 import type {RunOptions, UpstreamOutcome} from './request-run.js';
 import type {RetryBudget} from './retry-budget.js';
+import {ServerChooser} from './server-chooser.js';
 import {ServerPicker} from './server-picker.js';
 import type {Location} from './server-picker.js';
 import {ServerRecord} from './server-record.js';
@@ -34,6 +35,9 @@
   connectionLimitOf(service: string): number | undefined;
   /** Minimum share of a service's servers that stays in use. */
   floorShare: number;
+  /** Limits that servers have named; shared with the exchange between instances. */
+  limits: KnownLimits;
+  grants: LimitGrants;
   /** Called when a server is avoided because it failed a request here. */
   onFailure(failure: ObservedFailure): void;
   logger: Logger;
@@ -46,11 +50,10 @@
   private readonly services = new Map<string, ServiceState>();
   private readonly records = new Map<CatalogServer, ServerRecord>();
   private readonly picker: ServerPicker;
-  private readonly limits: KnownLimits;
+  private readonly choosers = new Map<string, ServerChooser>();
 
   private constructor(private readonly options: UpstreamOptions) {
     this.picker = ServerPicker.create(options.location, options.regionOf);
-    this.limits = KnownLimits.create(options.logger);
   }
 
   static create(options: UpstreamOptions): Upstream {
@@ -70,7 +73,7 @@
     const record = this.records.get(server);
     if (!record) return;
     this.records.delete(server);
-    this.limits.forget(record.run);
+    this.options.limits.forget(record.run);
     this.getOrCreateService(server.report.service).remove(record);
     record.pool.close();
   }
@@ -84,9 +87,9 @@
   run(options: RunOptions): Promise<UpstreamOutcome> {
     const state = this.getOrCreateService(options.service);
     state.budget.recordRequest();
-    const {limits, picker} = this;
-    const {headerNames, logger} = this.options;
-    const context = {state, picker, headerNames, limits, logger};
+    const {headerNames, limits, grants, logger} = this.options;
+    const chooser = this.getOrCreateChooser(options.service);
+    const context = {state, chooser, headerNames, limits, grants, logger};
     return RequestRun.create(options, context).run();
   }
 
@@ -115,9 +118,12 @@
     return readmissions;
   }
 
-  /** Limits that servers have named and that still hold. */
-  get knownLimits(): KnownLimit[] {
-    return this.limits.list();
+  /** Choices of servers that were not made because of a limit. */
+  get turnedAway(): number {
+    let turnedAway = 0;
+    for (const chooser of this.choosers.values())
+      turnedAway += chooser.turnedAway;
+    return turnedAway;
   }
 
   close(): void {
@@ -140,6 +146,17 @@
     return Math.max(1, share);
   }
 
+  private getOrCreateChooser(service: string): ServerChooser {
+    let chooser = this.choosers.get(service);
+    if (!chooser) {
+      const {limits, grants} = this.options;
+      const {picker} = this;
+      chooser = ServerChooser.create({service, picker, limits, grants});
+      this.choosers.set(service, chooser);
+    }
+    return chooser;
+  }
+
   private getOrCreateService(name: string): ServiceState {
     let state = this.services.get(name);
     if (!state) {
--- a/packages/upstream/src/test/endless-response_test.ts
+++ b/packages/upstream/src/test/endless-response_test.ts
@@ -102,6 +102,7 @@
         body: {kind: 'none'},
       },
       team: 'north',
+      rank: 1,
       isIdempotent,
       maxAttempts: 2,
       targetLatencyMs: 10_000,
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -41,6 +41,7 @@
         body: {kind: 'none'},
       },
       team: 'north',
+      rank: 1,
       isIdempotent: true,
       maxAttempts: 2,
       targetLatencyMs: 10_000,
--- a/packages/upstream/src/test/server-limit_test.ts
+++ b/packages/upstream/src/test/server-limit_test.ts
@@ -95,6 +95,7 @@
         body: {kind: 'none'},
       },
       team: 'north',
+      rank: 1,
       isIdempotent: false,
       maxAttempts: 1,
       targetLatencyMs: 10_000,
@@ -104,7 +105,7 @@
   }
 
   function knownRate(): number | undefined {
-    return scripted.upstream.knownLimits[0]?.requestsPerSecond;
+    return scripted.limits.list()[0]?.requestsPerSecond;
   }
 
   const GOOD = 'Signature: good\r\n';
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -1,5 +1,6 @@
 /** An upstream whose servers are scripted; the first one is tried first. */
 import {createLogger} from '@fireflytrack/telemetry';
+import {KnownLimits} from '../lib/known-limits.js';
 import {Upstream} from '../lib/upstream.js';
 import type {ObservedFailure} from '../lib/upstream.js';
 import {ScriptedServer} from './scripted-server.js';
@@ -11,8 +12,11 @@
   readonly servers: ScriptedServer[] = [];
   readonly failures: ObservedFailure[] = [];
   readonly upstream: Upstream;
+  readonly limits: KnownLimits;
 
   private constructor() {
+    const logger = createLogger({level: 'error', silent: true});
+    this.limits = KnownLimits.create(logger);
     this.upstream = Upstream.create({
       location: {availabilityZone: 'z1', region: 'r'},
       regionOf: () => 'r',
@@ -33,7 +37,16 @@
       connectionLimitOf: () => 10,
       floorShare: 0.7,
       onFailure: failure => this.failures.push(failure),
-      logger: createLogger({level: 'error', silent: true}),
+      limits: this.limits,
+      // Grants every request to the preferred server.
+      grants: {
+        requestGrant: async ({candidates}) => ({
+          kind: 'granted',
+          serverId: candidates[0]!.serverId,
+        }),
+        announce: () => {},
+      },
+      logger,
     });
   }
 
--- a/packages/wire/src/lib/memory-network.ts
+++ b/packages/wire/src/lib/memory-network.ts
@@ -22,6 +22,8 @@
 export class MemoryNetwork {
   private readonly nodes = new Map<string, MemoryPeerNetwork>();
   private readonly blockedLinks = new Set<string>();
+  /** Messages that wait for a suspended instance, by its id. */
+  private readonly heldMessages = new Map<string, (() => void)[]>();
   /** Messages delivered so far by kind; requests and replies count separately. */
   readonly deliveredByKind = new Map<string, number>();
 
@@ -50,6 +52,20 @@
     this.blockedLinks.delete(`${from}>${to}`);
   }
 
+  /** Holds all messages to the instance until `resume`. */
+  suspend(instanceId: string): void {
+    if (!this.heldMessages.has(instanceId)) {
+      this.heldMessages.set(instanceId, []);
+    }
+  }
+
+  /** Delivers the messages that were held. */
+  resume(instanceId: string): void {
+    const held = this.heldMessages.get(instanceId) ?? [];
+    this.heldMessages.delete(instanceId);
+    for (const deliver of held) deliver();
+  }
+
   identities(): PeerIdentity[] {
     return [...this.nodes.values()].map(node => node.self);
   }
@@ -64,11 +80,16 @@
     if (!target || !this.nodes.has(from.instanceId)) return;
     if (this.blockedLinks.has(`${from.instanceId}>${to}`)) return;
     const delayMs = this.options.delayMs?.(from, target.self) ?? 0;
-    setTimeout(() => {
+    const arrive = () => {
       // The target may have left while the message was in flight.
       if (this.nodes.get(to) !== target) return;
       this.deliveredByKind.set(kind, (this.deliveredByKind.get(kind) ?? 0) + 1);
       action(target);
+    };
+    setTimeout(() => {
+      const held = this.heldMessages.get(to);
+      if (held) held.push(arrive);
+      else arrive();
     }, delayMs);
   }
 }
--- a/packages/zone/src/lib/failure-exchange.ts
+++ b/packages/zone/src/lib/failure-exchange.ts
@@ -8,25 +8,18 @@
  * they are notified of persistent failures only. Without failures nothing is
  * sent.
  */
-import type {PeerNetwork} from '@fireflytrack/wire';
 import {z} from 'zod';
-import type {Leader} from './leader-row.js';
-import type {ZoneElection} from './zone-election.js';
+import {FleetBroadcast, scopeSchema} from './fleet-broadcast.js';
+import type {FleetBroadcastOptions} from './fleet-broadcast.js';
 
-export interface FailureExchangeOptions {
-  network: PeerNetwork;
-  election: Pick<
-    ZoneElection,
-    'isLeader' | 'reachableLeader' | 'otherLeaders' | 'connect'
-  >;
+export interface FailureExchangeOptions
+  extends Omit<FleetBroadcastOptions, 'kind'> {
   onFailure(failure: ServerFailure): void;
 }
 
 const FAILURE_KIND = 'server.failed';
 // A leader forwards at most one failure per server within this time.
 const MIN_FORWARD_INTERVAL_MS = 1000;
-// Connecting to another zone takes three round trips.
-const CONNECT_TIMEOUT_MS = 200;
 
 const serverFailureSchema = z.object({
   serverId: z.string(),
@@ -39,15 +32,16 @@
 export type ServerFailure = z.infer<typeof serverFailureSchema>;
 
 const messageSchema = serverFailureSchema.extend({
-  /** Instances to which the receiving leader forwards the failure. */
-  scope: z.enum(['fleet', 'region', 'zone']),
+  scope: scopeSchema,
 });
 type FailureMessage = z.infer<typeof messageSchema>;
 
 export class FailureExchange {
   private readonly forwardedAtMs = new Map<string, number>();
+  private readonly broadcast: FleetBroadcast;
 
   private constructor(private readonly options: FailureExchangeOptions) {
+    this.broadcast = FleetBroadcast.create({...options, kind: FAILURE_KIND});
     options.network.onMessage(FAILURE_KIND, (from, payload) =>
       this.receive(from.instanceId, payload),
     );
@@ -61,8 +55,7 @@
     const {network, election} = this.options;
     const message: FailureMessage = {...failure, scope: 'fleet'};
     if (election.isLeader) this.forward(message, network.self.instanceId);
-    const leader = election.reachableLeader;
-    if (leader) network.send(leader.instanceId, FAILURE_KIND, message);
+    else this.broadcast.sendToLeader(message);
   }
 
   private receive(sender: string, payload: unknown): void {
@@ -74,49 +67,9 @@
 
   private forward(message: FailureMessage, sender: string): void {
     if (!this.tryMarkForwarded(message.serverId)) return;
-    const {network} = this.options;
-    const {availabilityZone, region} = network.self;
-    for (const peer of network.peers()) {
-      const sameZone = peer.availabilityZone === availabilityZone;
-      if (sameZone && peer.instanceId !== sender) {
-        network.send(peer.instanceId, FAILURE_KIND, message);
-      }
-    }
-    if (message.scope === 'zone') return;
-    for (const [otherRegion, leaders] of this.leadersByRegion()) {
-      if (otherRegion === region) {
-        for (const leader of leaders) {
-          void this.sendToFirstReachable([leader], {...message, scope: 'zone'});
-        }
-      } else if (message.scope === 'fleet' && message.failedTrial) {
-        // One leader per region forwards it there: traffic between regions is
-        // the most expensive.
-        void this.sendToFirstReachable(leaders, {...message, scope: 'region'});
-      }
-    }
-  }
-
-  private leadersByRegion(): Map<string, Leader[]> {
-    const byRegion = new Map<string, Leader[]>();
-    for (const leader of this.options.election.otherLeaders) {
-      const leaders = byRegion.get(leader.region) ?? [];
-      byRegion.set(leader.region, [...leaders, leader]);
-    }
-    return byRegion;
-  }
-
-  /** Sends the message to the first leader that can be reached. */
-  private async sendToFirstReachable(
-    leaders: readonly Leader[],
-    message: FailureMessage,
-  ): Promise<void> {
-    const {network, election} = this.options;
-    for (const leader of leaders) {
-      if (!(await election.connect(leader, CONNECT_TIMEOUT_MS))) continue;
-      network.send(leader.instanceId, FAILURE_KIND, message);
-      return;
-    }
-    // Zones that cannot be reached detect the failure themselves.
+    const {scope, failedTrial} = message;
+    const reach = scope === 'fleet' && !failedTrial ? 'region' : scope;
+    this.broadcast.forward(message, sender, reach);
   }
 
   private tryMarkForwarded(serverId: string): boolean {
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -24,6 +24,8 @@
    * `vacantSinceMs` of the monotonic clock.
    */
   onBecomeLeader(vacantSinceMs: number): void;
+  /** Called when this instance starts to follow a leader. */
+  onFollowLeader?(leader: Leader): void;
 }
 
 const CONFIRM_LEADER_KIND = 'zone.confirm';
@@ -261,6 +263,7 @@
   private async followLeader(): Promise<void> {
     const {network, self, logger} = this.options;
     const leader = this.leaders.get(self.availabilityZone)!;
+    this.options.onFollowLeader?.(leader);
     while (!this.stopped && this.isConnected(leader)) {
       await sleep(MEMBER_CONNECTION_POLL_MS);
       this.closeIdleConnections();
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -9,7 +9,11 @@
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import type {TeamPolicy} from '@fireflytrack/policy';
 import type {Logger} from '@fireflytrack/telemetry';
-import type {RetryBudget} from '@fireflytrack/upstream';
+import type {
+  KnownLimits,
+  LimitGrants,
+  RetryBudget,
+} from '@fireflytrack/upstream';
 import {TcpPeerNetwork} from '@fireflytrack/wire';
 import {sleep} from '@fireflytrack/time';
 import {findFleetSecret, storeNewFleetSecret} from './fleet-secret.js';
@@ -22,6 +26,7 @@
 import type {RetryBounds} from './retry-ledger.js';
 import type {RateBounds} from './zone-buckets.js';
 import {ZoneElection} from './zone-election.js';
+import {ZoneLimitGrants} from './zone-limit-grants.js';
 import {ZoneRetries} from './zone-retries.js';
 import {
   MAX_LEADER_WAIT_MS,
@@ -35,6 +40,10 @@
   rateBounds: RateBounds;
   retryBounds: RetryBounds;
   findTeam(name: string): TeamPolicy | undefined;
+  /** Limits that backend servers named, as this instance knows them. */
+  limits: KnownLimits;
+  /** Upper estimate of the running instances. */
+  estimateInstances(): number;
   /** Feeds that the leader reads on behalf of the zone. */
   relays: RelayPair[];
   /** Called when another instance reports a failed backend server. */
@@ -60,10 +69,15 @@
   private limiter: ZoneRateLimiter | undefined;
   private failureExchange: FailureExchange | undefined;
   private readonly retries: ZoneRetries;
+  private readonly grants: ZoneLimitGrants;
   private stopped = false;
 
   private constructor(private readonly options: ZoneMemberOptions) {
     this.retries = ZoneRetries.create(options.retryBounds);
+    this.grants = ZoneLimitGrants.create({
+      limits: options.limits,
+      instances: () => options.estimateInstances(),
+    });
   }
 
   static create(options: ZoneMemberOptions): ZoneMember {
@@ -104,6 +118,11 @@
     return this.retries.budgetFor(service);
   }
 
+  /** Grants for requests to servers that named a limit. */
+  get limitGrants(): LimitGrants {
+    return this.grants;
+  }
+
   /** Number of instances in the fleet; undefined while no leader is known. */
   get instances(): number | undefined {
     const {election} = this;
@@ -146,6 +165,7 @@
     const onBecomeLeader = (vacantSinceMs: number) => {
       this.limiter?.becomeLeader(vacantSinceMs);
       this.retries.becomeLeader();
+      this.grants.becomeLeader();
     };
     const election = ZoneElection.create({
       self,
@@ -153,6 +173,7 @@
       network,
       logger,
       onBecomeLeader,
+      onFollowLeader: leader => this.grants.followLeader(leader),
     });
     this.network = network;
     this.election = election;
@@ -163,6 +184,7 @@
       findTeam: teamOf,
     });
     this.retries.join({network, election});
+    this.grants.join({network, election});
     this.failureExchange = FailureExchange.create({
       network,
       election,
