Keep the limit of a server whose entry lapses

An entry that lapses while the store is away returns within seconds. Each instance forgot the server's limit with the entry, so that all of them sent it a request to be told again. Found when the soak, whose servers leave and return, began to name limits; the unit test failed before. The limit is kept for 60 s after the server left, for the same run of it.

--- a/packages/upstream/src/lib/known-limits.ts
+++ b/packages/upstream/src/lib/known-limits.ts
@@ -23,11 +23,15 @@
   learnedAtMs: number;
   /** Monotonic time at which a response last named the limit. */
   namedAtMs: number;
+  /** Monotonic time at which the server left; it may return. */
+  goneAtMs: number | undefined;
 }
 
 // Bounds the limits of servers that this instance does not list.
 const MAX_LIMITS = 2000;
 const MAX_UNREADABLE_VALUES = 200;
+// A server whose entry lapsed may return with its limit.
+const GONE_RETENTION_MS = 60_000;
 
 export class KnownLimits {
   private readonly entries = new Map<string, Entry>();
@@ -89,6 +93,7 @@
       limit: {serverId, service, startedAtMs, requestsPerSecond},
       learnedAtMs: known?.learnedAtMs ?? nowMs,
       namedAtMs: nowMs,
+      goneAtMs: undefined,
     });
     if (before === requestsPerSecond) return false;
     const message = known ? 'server limit changed' : 'server limit learned';
@@ -110,9 +115,14 @@
     return true;
   }
 
-  /** Forgets a server that has left. */
-  forget(run: ServerRun): void {
-    this.entries.delete(toKey(run));
+  /** Keeps the limit of a server that has left for a while. */
+  retire(run: ServerRun): void {
+    const nowMs = performance.now();
+    for (const [key, {goneAtMs = nowMs}] of this.entries) {
+      if (nowMs - goneAtMs >= GONE_RETENTION_MS) this.entries.delete(key);
+    }
+    const entry = this.entries.get(toKey(run));
+    if (entry) entry.goneAtMs = nowMs;
     this.unreadableValues.delete(toKey(run));
   }
 
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -73,7 +73,7 @@
     const record = this.records.get(server);
     if (!record) return;
     this.records.delete(server);
-    this.options.limits.forget(record.run);
+    this.options.limits.retire(record.run);
     this.getOrCreateService(server.report.service).remove(record);
     record.pool.close();
   }
--- a/packages/upstream/src/test/server-limit_test.ts
+++ b/packages/upstream/src/test/server-limit_test.ts
@@ -63,6 +63,17 @@
     expect(limits.size <= 2000).toEqual(true);
   });
 
+  // Guards against a server whose entry lapses, and that every instance then
+  // has to be told of again.
+  it('are kept for a server that leaves and returns', () => {
+    const logger = createLogger({level: 'error', silent: true});
+    const limits = KnownLimits.create(logger);
+    const run = {serverId: 's', startedAtMs: 1, service: SERVICE};
+    limits.learn({...run, requestsPerSecond: 1}, 'peer');
+    limits.retire(run);
+    expect(limits.find(run)?.requestsPerSecond).toEqual(1);
+  });
+
   it('belong to one run of a server', () => {
     const logger = createLogger({level: 'error', silent: true});
     const limits = KnownLimits.create(logger);
