Compare revisions of the store within one era only

Cause: the store gives its revisions out again. A leader's relay kept the highest revision that it had ever seen, and members asked it for changes after theirs, which was from before; rows with the lower new revisions never reached them (34 of 40 instances; the six leaders had the version). Where later writes pass the old revision before the next read, the store cannot answer 410 either, and the reader skips what was written in between. Ruled out: versions of the policy (the leaders took them), leaders replaced (none was).

Class: a number compared across two lives of its counter. Positions in feeds now consist of the store's era and its revision; a reader reads all rows when the era rises, never goes back to an earlier one, and a relay sends members of another era to a full read, or to the store if it has not noticed itself.

--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -8,6 +8,7 @@
   ChangeFeed,
   FeedError,
   FeedPage,
+  FeedPosition,
   FeedRow,
 } from './lib/change-feed.js';
 export {FeedFollower} from './lib/feed-follower.js';
--- a/packages/discovery/src/lib/change-feed.ts
+++ b/packages/discovery/src/lib/change-feed.ts
@@ -12,10 +12,20 @@
   item: Item | undefined;
 }
 
+/**
+ * A place in a feed. The era rises each time the table returns from an older
+ * copy; revisions are given out again then, so that revisions of different eras
+ * are not comparable.
+ */
+export interface FeedPosition {
+  era: number;
+  revision: number;
+}
+
 export interface FeedPage<Item> {
   rows: FeedRow<Item>[];
-  /** Latest revision that the page covers. */
-  revision: number;
+  /** Latest position that the page covers. */
+  position: FeedPosition;
   /**
    * Milliseconds from the sending of the call to the latest moment at which the
    * page is known to have been up to date. Negative when another instance relayed
@@ -31,11 +41,14 @@
   | {kind: 'unavailable'; message: string};
 
 export interface ChangeFeed<Item> {
-  /** Reads all rows of the table. */
-  readAll(): Promise<Result<FeedPage<Item>, FeedError>>;
-  /** Waits up to `waitMs` for changes after `revision` (long polling). */
+  /**
+   * Reads all rows of the table; sources that lag behind the era `minEra` are not
+   * used.
+   */
+  readAll(minEra: number): Promise<Result<FeedPage<Item>, FeedError>>;
+  /** Waits up to `waitMs` for changes after `position` (long polling). */
   changesAfter(
-    revision: number,
+    position: FeedPosition,
     waitMs: number,
   ): Promise<Result<FeedPage<Item>, FeedError>>;
   close(): Promise<void>;
--- a/packages/discovery/src/lib/feed-follower.ts
+++ b/packages/discovery/src/lib/feed-follower.ts
@@ -2,11 +2,12 @@
  * Follows a change feed until stopped: one full read, then changes.
  *
  * A full read replaces the known rows; changes update them. After a failure the
- * follower continues from the last revision if the history still reaches back to
- * it, and does a full read otherwise.
+ * follower continues from the last position if the history still reaches back to
+ * it, and does a full read otherwise. It never returns to an earlier era of the
+ * table.
  */
 import type {Logger} from '@fireflytrack/telemetry';
-import type {ChangeFeed, FeedPage} from './change-feed.js';
+import type {ChangeFeed, FeedPage, FeedPosition} from './change-feed.js';
 
 export interface FeedListener<Item> {
   /** Called before each call to the feed; calls never overlap. */
@@ -17,6 +18,11 @@
   onUnavailable?(): void;
   /** Called after the first successful call that follows an outage. */
   onRecovered?(): void;
+  /**
+   * Called before the first page of a table that returned from an older copy;
+   * the page is the result of a full read.
+   */
+  onRestored?(): void;
 }
 
 export interface FeedFollowerOptions<Item> {
@@ -38,7 +44,9 @@
 
 export class FeedFollower<Item> {
   private stopped = false;
-  private revision: number | undefined;
+  private position: FeedPosition | undefined;
+  /** The latest era of the table that was seen; undefined before the first. */
+  private newestEra: number | undefined;
   private failures = 0;
   private wake: (() => void) | undefined;
 
@@ -75,14 +83,23 @@
   private async poll(): Promise<number> {
     const {feed, waitMs, pauseMs, listener} = this.options;
     listener.onCallStart?.();
-    const complete = this.revision === undefined;
+    const {position} = this;
+    const complete = position === undefined;
     const page = complete
-      ? await feed.readAll()
-      : await feed.changesAfter(this.revision!, waitMs);
+      ? await feed.readAll(this.newestEra ?? 0)
+      : await feed.changesAfter(position, waitMs);
     if (this.stopped) return 0;
     if (page.err) return this.handleFailure(page.val.kind, page.val.message);
+    const {era} = page.val.position;
+    if (era < (this.newestEra ?? 0)) {
+      return this.handleFailure('unavailable', `era ${era} has ended`);
+    }
+    if (position && era !== position.era) {
+      return this.handleFailure('history-gone', `era ${era} has begun`);
+    }
     this.handleRecovery();
-    this.revision = page.val.revision;
+    this.recordEra(era);
+    this.position = page.val.position;
     listener.onPage(page.val, complete);
     return page.val.rows.length > 0 ? pauseMs : 0;
   }
@@ -90,8 +107,9 @@
   private handleFailure(kind: string, message: string): number {
     const {name, logger, listener} = this.options;
     if (kind === 'history-gone') {
-      logger.warn('feed history gone, reading all rows', {feed: name});
-      this.revision = undefined;
+      const fields = {feed: name, reason: message};
+      logger.warn('feed history gone, reading all rows', fields);
+      this.position = undefined;
       return 0;
     }
     this.failures += 1;
@@ -104,6 +122,15 @@
     return pauseMs * (0.5 + Math.random() / 2);
   }
 
+  private recordEra(era: number): void {
+    const before = this.newestEra;
+    this.newestEra = era;
+    if (before === undefined || before === era) return;
+    const {name, logger, listener} = this.options;
+    logger.warn('table returned from an older copy', {feed: name, era, before});
+    listener.onRestored?.();
+  }
+
   private handleRecovery(): void {
     if (this.failures === 0) return;
     const {name, logger, listener} = this.options;
--- a/packages/discovery/src/test/server-catalog_test.ts
+++ b/packages/discovery/src/test/server-catalog_test.ts
@@ -56,7 +56,8 @@
     rows: FeedRow<DiscoveredServer>[],
     complete = false,
   ): void {
-    catalog.apply({rows, revision: 1, confirmedOffsetMs: 0}, complete);
+    const position = {era: 1, revision: 1};
+    catalog.apply({rows, position, confirmedOffsetMs: 0}, complete);
   }
 
   const removal = {key: 's1', item: undefined};
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -92,7 +92,7 @@
 
   private async confirmByRead(): Promise<void> {
     const sentAt = readClocks();
-    const page = await this.options.reader.readAll();
+    const page = await this.options.reader.readAll(0);
     this.pendingConfirmation = undefined;
     if (page.ok) this.applyPage(page.val, sentAt);
   }
--- a/packages/zone/src/lib/feed-relay.ts
+++ b/packages/zone/src/lib/feed-relay.ts
@@ -6,7 +6,7 @@
  * at any time. It serves requests only while it is the leader and its own feed
  * is up to date.
  */
-import type {FeedPage, FeedRow} from '@fireflytrack/discovery';
+import type {FeedPage, FeedPosition, FeedRow} from '@fireflytrack/discovery';
 import type {PeerNetwork} from '@fireflytrack/wire';
 import {z} from 'zod';
 import type {ZoneElection} from './zone-election.js';
@@ -24,6 +24,11 @@
 export const relayRequestSchema = z.object({
   /** Last revision that the member has; absent to request all rows. */
   after: z.number().optional(),
+  /**
+   * Latest era of the table that the member knows, which `after` belongs to;
+   * absent in requests of earlier builds.
+   */
+  era: z.number().optional(),
   waitMs: z.number().nonnegative(),
 });
 export type RelayRequest = z.infer<typeof relayRequestSchema>;
@@ -32,6 +37,7 @@
   z.object({
     kind: z.literal('page'),
     rows: z.array(z.object({key: z.string(), item: z.unknown()})),
+    era: z.number(),
     revision: z.number(),
     /** Age of the confirmation when the response was created. */
     ageMs: z.number(),
@@ -51,8 +57,8 @@
 
 export class FeedRelay<Item> {
   private readonly rows = new Map<string, StoredRow<Item>>();
-  private revision = -1;
-  /** All changes after this revision are available. */
+  private position: FeedPosition = {era: 0, revision: -1};
+  /** All changes of the era after this revision are available. */
   private completeSince = Infinity;
   private readonly waiting = new Set<() => void>();
 
@@ -83,14 +89,16 @@
 
   /** Stores a page that this instance's own feed delivered. */
   storePage(page: FeedPage<Item>, complete: boolean): void {
+    const {revision} = page.position;
     if (complete) {
       this.rows.clear();
-      this.completeSince = page.revision;
+      this.completeSince = revision;
     }
-    this.revision = Math.max(this.revision, page.revision);
-    for (const {key, item} of page.rows)
-      this.storeRow(key, item, page.revision);
-    if (page.rows.length === 0) return;
+    // Revisions may be lower than before only in another era, which begins with
+    // a complete page.
+    this.position = page.position;
+    for (const {key, item} of page.rows) this.storeRow(key, item, revision);
+    if (page.rows.length === 0 && !complete) return;
     for (const wake of [...this.waiting]) wake();
   }
 
@@ -112,25 +120,37 @@
 
   private async createResponse(request: RelayRequest): Promise<RelayResponse> {
     const {after, waitMs} = request;
-    this.assertFresh();
-    if (after !== undefined && after < this.completeSince) {
-      return {kind: 'history-gone'};
-    }
-    if (after !== undefined && this.changesAfter(after).length === 0) {
+    this.assertFresh(request);
+    if (this.hasHistory(request) && !this.hasChanges(request)) {
       await this.waitForChange(waitMs);
-      this.assertFresh();
+      this.assertFresh(request);
     }
+    if (!this.hasHistory(request)) return {kind: 'history-gone'};
     const rows = this.changesAfter(after ?? -1);
+    const {era} = this.position;
     // A member that already has a newer revision must not be set back.
-    const revision = Math.max(this.revision, after ?? -1);
-    return {kind: 'page', rows, revision, ageMs: this.ageMs()};
+    const revision = Math.max(this.position.revision, after ?? -1);
+    return {kind: 'page', rows, era, revision, ageMs: this.ageMs()};
   }
 
-  private assertFresh(): void {
-    if (this.revision >= 0 && this.ageMs() <= this.options.maxAgeMs) return;
+  private assertFresh({era}: RelayRequest): void {
+    const isKnown =
+      this.position.revision >= 0 && (era ?? 0) <= this.position.era;
+    if (isKnown && this.ageMs() <= this.options.maxAgeMs) return;
     throw new Error('the feed of this instance is out of date');
   }
 
+  /** Whether the changes after the member's position are stored. */
+  private hasHistory({after, era}: RelayRequest): boolean {
+    if (after === undefined) return true;
+    const isSameEra = era === undefined || era === this.position.era;
+    return isSameEra && after >= this.completeSince;
+  }
+
+  private hasChanges({after}: RelayRequest): boolean {
+    return after === undefined || this.changesAfter(after).length > 0;
+  }
+
   private changesAfter(after: number): FeedRow<Item>[] {
     const changed: FeedRow<Item>[] = [];
     for (const [key, {item, revision}] of this.rows) {
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -1,9 +1,14 @@
 /**
  * A feed that is read from the zone leader while one is reachable, and directly
- * from the table otherwise. Both sources use the table's revisions, so a reader
+ * from the table otherwise. Both sources use the table's positions, so a reader
  * can switch between them without reading all rows again.
  */
-import type {ChangeFeed, FeedError, FeedPage} from '@fireflytrack/discovery';
+import type {
+  ChangeFeed,
+  FeedError,
+  FeedPage,
+  FeedPosition,
+} from '@fireflytrack/discovery';
 import {Err, Ok} from '@fireflytrack/result';
 import type {Result} from '@fireflytrack/result';
 import type {PeerNetwork} from '@fireflytrack/wire';
@@ -49,21 +54,22 @@
     this.access = access;
   }
 
-  async readAll(): Promise<Result<FeedPage<Item>, FeedError>> {
-    const relayed = await this.requestFromLeader({waitMs: 0});
-    return relayed ?? this.options.direct.readAll();
+  async readAll(minEra: number): Promise<Result<FeedPage<Item>, FeedError>> {
+    const relayed = await this.requestFromLeader({era: minEra, waitMs: 0});
+    return relayed ?? this.options.direct.readAll(minEra);
   }
 
   async changesAfter(
-    revision: number,
+    position: FeedPosition,
     waitMs: number,
   ): Promise<Result<FeedPage<Item>, FeedError>> {
     const relayWaitMs = Math.min(waitMs, this.options.relayWaitMs);
     const relayed = await this.requestFromLeader({
-      after: revision,
+      after: position.revision,
+      era: position.era,
       waitMs: relayWaitMs,
     });
-    return relayed ?? this.options.direct.changesAfter(revision, waitMs);
+    return relayed ?? this.options.direct.changesAfter(position, waitMs);
   }
 
   close(): Promise<void> {
@@ -92,9 +98,10 @@
       return undefined;
     }
     if (parsed.data.kind === 'history-gone') {
-      return Err({kind: 'history-gone', message: 'leader began later'});
+      const message = 'the leader does not have it';
+      return Err({kind: 'history-gone', message});
     }
-    const {rows, revision, ageMs} = parsed.data;
+    const {rows, era, revision, ageMs} = parsed.data;
     const elapsedMs = performance.now() - sentAtMs;
     const timedOut = rows.length === 0 && elapsedMs >= request.waitMs;
     const confirmedOffsetMs = (timedOut ? request.waitMs : 0) - ageMs;
@@ -102,7 +109,8 @@
       key,
       item: this.parseItem(item),
     }));
-    return Ok({rows: items, revision, confirmedOffsetMs});
+    const position = {era, revision};
+    return Ok({rows: items, position, confirmedOffsetMs});
   }
 
   private parseItem(item: unknown): Item | undefined {
--- a/packages/zone/src/test/feed-relay_test.ts
+++ b/packages/zone/src/test/feed-relay_test.ts
@@ -17,12 +17,15 @@
 const MAX_AGE_MS = 1400;
 const WAIT_MS = 600;
 
+const at = (revision: number, era = 1) => ({era, revision});
+
 function page(
   revision: number,
   rows: Record<string, string | undefined>,
+  era = 1,
 ): FeedPage<string> {
   const list = Object.entries(rows).map(([key, item]) => ({key, item}));
-  return {rows: list, revision, confirmedOffsetMs: 0};
+  return {rows: list, position: at(revision, era), confirmedOffsetMs: 0};
 }
 
 describe('relayed feed', () => {
@@ -85,46 +88,78 @@
   }
 
   it('returns all rows, then changes and removals as they occur', async () => {
-    const all = (await settle(feed.readAll())).unwrap();
+    const all = (await settle(feed.readAll(0))).unwrap();
     expect(all.rows.length).toEqual(2);
-    expect(all.revision).toEqual(10);
-    const waiting = feed.changesAfter(10, 5000);
+    expect(all.position).toEqual(at(10));
+    const waiting = feed.changesAfter(at(10), 5000);
     await clock.tickAsync(300);
     relay.storePage(page(12, {a: undefined}), false);
     const change = (await settle(waiting)).unwrap();
     expect(change.rows).toEqual([{key: 'a', item: undefined}]);
-    expect(change.revision).toEqual(12);
+    expect(change.position).toEqual(at(12));
     expect(directReads).toEqual(0);
   });
 
   it('includes the age at the leader and the wait in the confirmation offset', async () => {
-    const all = (await settle(feed.readAll())).unwrap();
+    const all = (await settle(feed.readAll(0))).unwrap();
     expect(all.confirmedOffsetMs).toEqual(-100);
-    const unchanged = settle(feed.changesAfter(10, 5000), WAIT_MS + 5);
+    const unchanged = settle(feed.changesAfter(at(10), 5000), WAIT_MS + 5);
     expect((await unchanged).unwrap().confirmedOffsetMs).toEqual(WAIT_MS - 100);
   });
 
   it('reads the table when the feed of the leader is out of date', async () => {
     ageMs = MAX_AGE_MS + 1;
-    const read = (await settle(feed.changesAfter(10, 1000))).unwrap();
+    const read = (await settle(feed.changesAfter(at(10), 1000))).unwrap();
     expect(read.rows[0]!.key).toEqual('direct');
     expect(directReads).toEqual(1);
   });
 
   it('reads the table when the leader was replaced', async () => {
     leaderIsActive = false;
-    await settle(feed.changesAfter(10, 1000));
+    await settle(feed.changesAfter(at(10), 1000));
     expect(directReads).toEqual(1);
   });
 
   it('requests all rows when the leader lacks the earlier changes', async () => {
-    const response = await settle(feed.changesAfter(9, 1000));
+    const response = await settle(feed.changesAfter(at(9), 1000));
     if (response.ok) throw new Error('expected an error');
     expect(response.val.kind).toEqual('history-gone');
   });
 
   it('does not return a revision older than the one the member has', async () => {
-    const ahead = settle(feed.changesAfter(20, 1000), WAIT_MS + 5);
-    expect((await ahead).unwrap().revision).toEqual(20);
+    const ahead = settle(feed.changesAfter(at(20), 1000), WAIT_MS + 5);
+    expect((await ahead).unwrap().position).toEqual(at(20));
+  });
+
+  // Guards against members that wait for revisions which the table has given
+  // out again for rows that they never get.
+  describe('after the table returned from an older copy', () => {
+    it('requests all rows although the revision is lower', async () => {
+      const waiting = feed.changesAfter(at(10), 5000);
+      await clock.tickAsync(100);
+      relay.storePage(page(4, {a: '1', c: '3'}, 2), true);
+      const response = await settle(waiting);
+      if (response.ok) throw new Error('expected an error');
+      expect(response.val.kind).toEqual('history-gone');
+      const all = (await settle(feed.readAll(2))).unwrap();
+      expect(all.position).toEqual(at(4, 2));
+      expect(all.rows.map(({key}) => key)).toEqual(['a', 'c']);
+      relay.storePage(page(5, {d: '4'}, 2), false);
+      const next = await settle(feed.changesAfter(at(4, 2), 1000));
+      expect(next.unwrap().rows.map(({key}) => key)).toEqual(['d']);
+    });
+
+    it('requests all rows when the revision was passed again', async () => {
+      relay.storePage(page(30, {a: '1'}, 2), true);
+      const response = await settle(feed.changesAfter(at(10), 1000));
+      if (response.ok) throw new Error('expected an error');
+      expect(response.val.kind).toEqual('history-gone');
+    });
+
+    it('reads the table while the leader has not noticed', async () => {
+      const all = (await settle(feed.readAll(2))).unwrap();
+      expect(all.rows[0]!.key).toEqual('direct');
+      expect(directReads).toEqual(1);
+    });
   });
 });
