Doubt entries of departed servers in a store that returned from an older copy

Requests would have gone to servers that had left, or to an address that another service uses by now, and servers that joined in the lost seconds would have been dropped at once where no call had failed.

The catalog remembers the last report of each server that left. After the store was restored, such a server is used again only if its report number is higher, or if its entry has not lapsed after 6 s; never if it was draining. Servers that the copy lacks have the usual time to return. An entry of an earlier run under the same id is ignored at any time.

--- a/packages/discovery/src/lib/backend-server.ts
+++ b/packages/discovery/src/lib/backend-server.ts
@@ -15,6 +15,8 @@
   state: z.enum(['ready', 'draining']),
   /** Remaining warm-up time after its start, as of this report. */
   warmupLeftMs: z.number().nonnegative(),
+  /** Increases with each report of one run. */
+  reportNumber: z.number().default(0),
 });
 export type DiscoveredServer = z.infer<typeof discoveredServerSchema>;
 
--- a/packages/discovery/src/lib/server-catalog.ts
+++ b/packages/discovery/src/lib/server-catalog.ts
@@ -4,6 +4,10 @@
  * During an outage of the store, entries may expire although the servers are
  * running. Removals are therefore deferred until expired entries had time to
  * return. A server that reports that it is draining is always removed at once.
+ *
+ * A store that returned from an older copy lists servers that have left since,
+ * and lacks some that have joined. The former are used again only if they report
+ * anew or their entries do not lapse; the latter have time to return.
  */
 import type {Logger} from '@fireflytrack/telemetry';
 import {isSameIncarnation} from './backend-server.js';
@@ -13,6 +17,9 @@
 // Shorter interruptions, such as a single failed call, are not an outage: entries
 // expire only after heartbeats were missed for longer than this.
 const MIN_OUTAGE_MS = 1000;
+// An entry of a server that does not report lapses within this time.
+const LAPSE_MS = 6000;
+const MAX_DEPARTED = 5000;
 
 export interface ServerCatalogOptions {
   /** Time that expired entries need to return after an outage. */
@@ -29,6 +36,12 @@
   firstSeenAtMs: number;
 }
 
+/** The last report of a server that was removed. */
+type DepartedServer = Pick<
+  DiscoveredServer,
+  'startedAtMs' | 'reportNumber' | 'state'
+>;
+
 export interface CatalogListener {
   onJoined(server: CatalogServer): void;
   onLeft(server: CatalogServer): void;
@@ -44,6 +57,11 @@
   private graceTimer: NodeJS.Timeout | undefined;
   private inGrace = false;
   private loaded = false;
+  private readonly departed = new Map<string, DepartedServer>();
+  /** Entries of departed servers in a store that was restored. */
+  private readonly doubtful = new Map<string, DiscoveredServer>();
+  private doubtTimer: NodeJS.Timeout | undefined;
+  private inDoubt = false;
 
   private constructor(
     private readonly options: ServerCatalogOptions,
@@ -76,7 +94,7 @@
     this.loaded = true;
     this.lastPageAtMs = performance.now();
     for (const {key, item} of page.rows) {
-      if (item) this.upsert(item);
+      if (item) this.applyReport(item);
       else this.removeOrDefer(key);
     }
     if (!complete) return;
@@ -94,21 +112,39 @@
   onStoreRecovered(): void {
     if (!this.outage) return;
     this.outage = false;
+    const outageMs = performance.now() - this.lastPageAtMs;
+    if (outageMs < MIN_OUTAGE_MS) this.endGrace();
+    else this.startGrace();
+  }
+
+  /** The store returned from an older copy; its rows are read next. */
+  onStoreRestored(): void {
+    this.outage = false;
+    this.startGrace();
+    this.inDoubt = true;
+    clearTimeout(this.doubtTimer);
+    this.doubtTimer = setTimeout(() => this.endDoubt(), LAPSE_MS);
+  }
+
+  stop(): void {
+    clearTimeout(this.graceTimer);
+    clearTimeout(this.doubtTimer);
+  }
+
+  private startGrace(): void {
     clearTimeout(this.graceTimer);
     this.inGrace = true;
-    const outageMs = performance.now() - this.lastPageAtMs;
-    if (outageMs < MIN_OUTAGE_MS) {
-      this.endGrace();
-      return;
-    }
     this.graceTimer = setTimeout(
       () => this.endGrace(),
       this.options.lapseGraceMs,
     );
   }
 
-  stop(): void {
-    clearTimeout(this.graceTimer);
+  private endDoubt(): void {
+    this.inDoubt = false;
+    const remaining = [...this.doubtful.values()];
+    this.doubtful.clear();
+    for (const report of remaining) this.applyReport(report);
   }
 
   private endGrace(): void {
@@ -118,11 +154,39 @@
     for (const serverId of deferred) this.remove(serverId);
   }
 
+  private applyReport(report: DiscoveredServer): void {
+    const {serverId, startedAtMs} = report;
+    const latest = this.servers.get(serverId)?.report;
+    const departed = this.departed.get(serverId);
+    const latestStartMs = (latest ?? departed)?.startedAtMs ?? 0;
+    if (startedAtMs < latestStartMs) return;
+    if (!latest && departed && this.isDoubtful(report, departed)) {
+      if (departed.state === 'ready') this.doubtful.set(serverId, report);
+      return;
+    }
+    this.doubtful.delete(serverId);
+    this.upsert(report);
+  }
+
+  /** Whether the report may be of the time before the server left. */
+  private isDoubtful(
+    report: DiscoveredServer,
+    departed: DepartedServer,
+  ): boolean {
+    if (!this.inDoubt || report.startedAtMs > departed.startedAtMs)
+      return false;
+    return (
+      departed.state === 'draining' ||
+      report.reportNumber <= departed.reportNumber
+    );
+  }
+
   private upsert(report: DiscoveredServer): void {
     this.deferredRemovals.delete(report.serverId);
     const known = this.servers.get(report.serverId);
     if (report.state === 'draining') {
       this.remove(report.serverId);
+      this.rememberDeparted(report);
       return;
     }
     const nowMs = performance.now();
@@ -147,6 +211,7 @@
   }
 
   private removeOrDefer(serverId: string): void {
+    this.doubtful.delete(serverId);
     if (!this.servers.has(serverId)) return;
     if (this.outage || this.inGrace) this.deferredRemovals.add(serverId);
     else this.remove(serverId);
@@ -156,6 +221,7 @@
     const server = this.servers.get(serverId);
     if (!server) return;
     this.servers.delete(serverId);
+    this.rememberDeparted(server.report);
     const {service} = server.report;
     const remaining = this.serversForService(service).filter(
       other => other !== server,
@@ -164,4 +230,13 @@
     this.options.logger.info('server left', {server: serverId, service});
     this.listener.onLeft(server);
   }
+
+  private rememberDeparted(report: DiscoveredServer): void {
+    const {serverId, startedAtMs, reportNumber, state} = report;
+    this.departed.delete(serverId);
+    this.departed.set(serverId, {startedAtMs, reportNumber, state});
+    if (this.departed.size <= MAX_DEPARTED) return;
+    const [oldest] = this.departed.keys();
+    if (oldest !== undefined) this.departed.delete(oldest);
+  }
 }
--- a/packages/discovery/src/test/server-catalog_test.ts
+++ b/packages/discovery/src/test/server-catalog_test.ts
@@ -23,6 +23,7 @@
     slots: 4,
     state: 'ready',
     warmupLeftMs: 0,
+    reportNumber: 5,
     ...change,
   };
 }
@@ -113,4 +114,72 @@
     applyPage([removal]);
     expect(serverCount()).toEqual(0);
   });
+
+  it('ignores the entry of an earlier run under the same id', () => {
+    applyServers([server({startedAtMs: 2, port: 81})]);
+    applyServers([server({startedAtMs: 1})]);
+    expect(catalog.serversForService('counting')[0]!.report.port).toEqual(81);
+  });
+
+  // Guards against requests to servers that have left but are listed again, and
+  // against servers that are lost because the copy does not list them yet.
+  describe('when the store returned from an older copy', () => {
+    const UNTIL_LAPSE_MS = 6000;
+
+    it('does not use a server again that has left', () => {
+      applyPage([removal]);
+      catalog.onStoreRestored();
+      applyServers([server()], true);
+      expect(serverCount()).toEqual(0);
+    });
+
+    it('does not use a draining server again, even if it stays listed', () => {
+      applyServers([server({state: 'draining'})]);
+      catalog.onStoreRestored();
+      applyServers([server({reportNumber: 9})], true);
+      clock.tick(UNTIL_LAPSE_MS);
+      expect(serverCount()).toEqual(0);
+    });
+
+    it('uses a server again that reports anew', () => {
+      applyPage([removal]);
+      catalog.onStoreRestored();
+      applyServers([server()], true);
+      applyServers([server({reportNumber: 6})]);
+      expect(serverCount()).toEqual(1);
+    });
+
+    it('uses a server again whose entry does not lapse', () => {
+      applyPage([removal]);
+      catalog.onStoreRestored();
+      applyServers([server()], true);
+      clock.tick(UNTIL_LAPSE_MS);
+      expect(serverCount()).toEqual(1);
+    });
+
+    it('does not use a server whose entry lapses', () => {
+      applyPage([removal]);
+      catalog.onStoreRestored();
+      applyServers([server()], true);
+      applyPage([removal]);
+      clock.tick(UNTIL_LAPSE_MS);
+      expect(serverCount()).toEqual(0);
+    });
+
+    it('uses a server that restarted under the id of one that left', () => {
+      applyPage([removal]);
+      catalog.onStoreRestored();
+      applyServers([server({startedAtMs: 2, reportNumber: 1})], true);
+      expect(serverCount()).toEqual(1);
+    });
+
+    it('keeps a server that the copy lacks until it had time to return', () => {
+      catalog.onStoreRestored();
+      applyPage([], true);
+      clock.tick(LAPSE_GRACE_MS - 1);
+      expect(serverCount()).toEqual(1);
+      clock.tick(1);
+      expect(serverCount()).toEqual(0);
+    });
+  });
 });
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -158,6 +158,7 @@
         },
         onUnavailable: () => this.catalog.onStoreUnavailable(),
         onRecovered: () => this.catalog.onStoreRecovered(),
+        onRestored: () => this.catalog.onStoreRestored(),
       },
       logger,
     });
--- a/packages/proofs/src/lib/fleet-fixtures.ts
+++ b/packages/proofs/src/lib/fleet-fixtures.ts
@@ -36,6 +36,7 @@
       slots: 6,
       state: 'ready',
       warmupLeftMs: 0,
+      reportNumber: 1,
     },
     warmUntilMs: 0,
     firstSeenAtMs: 0,
--- a/packages/upstream/src/testing/catalog-server.ts
+++ b/packages/upstream/src/testing/catalog-server.ts
@@ -17,6 +17,7 @@
       slots: 4,
       state: 'ready',
       warmupLeftMs: 0,
+      reportNumber: 1,
     },
     warmUntilMs: 0,
     firstSeenAtMs: 0,
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -78,6 +78,7 @@
         slots: 4,
         state: 'ready',
         warmupLeftMs: 0,
+        reportNumber: 1,
       },
       warmUntilMs: 0,
       firstSeenAtMs: 0,
