Tell the members of a zone when their leader leads no longer

Members followed a leader for as long as their connection to it was open. One that was suspended or cut off from a single member could be replaced in the table, step down when it read its row, and stay connected to the others: they sent it their requests for rates, retries and changes, which it rejected, until the connection ended.

A leader that steps down reports it to the instances of its zone, which read the row again. zone-election_test failed before: n2 still followed n1 six seconds after n3 led.

--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -8,7 +8,7 @@
  */
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import type {Logger} from '@fireflytrack/telemetry';
-import type {PeerDialer, PeerNetwork} from '@fireflytrack/wire';
+import type {PeerDialer, PeerIdentity, PeerNetwork} from '@fireflytrack/wire';
 import {z} from 'zod';
 import {sleep} from '@fireflytrack/time';
 import {leaderKey, parseLeaders, findRowVersion} from './leader-row.js';
@@ -30,6 +30,7 @@
 
 const CONFIRM_LEADER_KIND = 'zone.confirm';
 const FLEET_SIZE_KIND = 'zone.fleet-size';
+const RESIGNED_KIND = 'zone.resigned';
 
 const confirmationSchema = z.object({
   leads: z.boolean(),
@@ -66,6 +67,8 @@
   private holdsLeadership = false;
   private stopped = false;
   private fleetSize = 1;
+  /** The leader that last reported that it leads no longer. */
+  private resignedId: string | undefined;
   /** When the leader named in the row ended, if that is known. */
   private vacantSinceMs: number | undefined;
 
@@ -83,6 +86,9 @@
     network.onMessage(FLEET_SIZE_KIND, (_from, payload) => {
       this.fleetSize = fleetSizeSchema.parse(payload).instances;
     });
+    network.onMessage(RESIGNED_KIND, from => {
+      this.resignedId = from.instanceId;
+    });
   }
 
   static create(options: ZoneElectionOptions): ZoneElection {
@@ -170,6 +176,10 @@
     if (!leads) {
       const leader = own?.instanceId;
       logger.info('lost the lead of the zone', {availabilityZone, leader});
+      // Their connections to this instance stay open.
+      for (const peer of this.zonePeers()) {
+        this.options.network.send(peer.instanceId, RESIGNED_KIND, {});
+      }
       return;
     }
     const nowMs = performance.now();
@@ -185,9 +195,7 @@
    */
   private async actAsLeader(rows: readonly TableRow[]): Promise<void> {
     const {network, self, table} = this.options;
-    const zonePeers = network
-      .peers()
-      .filter(peer => peer.availabilityZone === self.availabilityZone);
+    const zonePeers = this.zonePeers();
     const instances = zonePeers.length + 1;
     const key = leaderKey(self.availabilityZone);
     if (this.leaders.get(self.availabilityZone)?.instances !== instances) {
@@ -254,6 +262,13 @@
     return confirmed;
   }
 
+  private zonePeers(): PeerIdentity[] {
+    const {network, self} = this.options;
+    return network
+      .peers()
+      .filter(peer => peer.availabilityZone === self.availabilityZone);
+  }
+
   /** Whether the row names an earlier run of this instance. */
   private isEarlierRun({lifeId, host, port}: Leader): boolean {
     const {self} = this.options;
@@ -264,7 +279,9 @@
     const {network, self, logger} = this.options;
     const leader = this.leaders.get(self.availabilityZone)!;
     this.options.onFollowLeader?.(leader);
-    while (!this.stopped && this.isConnected(leader)) {
+    this.resignedId = undefined;
+    const hasResigned = () => this.resignedId === leader.instanceId;
+    while (!this.stopped && this.isConnected(leader) && !hasResigned()) {
       await sleep(MEMBER_CONNECTION_POLL_MS);
       this.closeIdleConnections();
     }
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -1,6 +1,6 @@
 /**
- * Guards against zones without a leader, and against connections between zones
- * that stay open while idle.
+ * Guards against zones without a leader or with members that follow a former
+ * one, and against connections between zones that stay open while idle.
  */
 import {MemoryTable} from '@fireflytrack/platform';
 import {createLogger} from '@fireflytrack/telemetry';
@@ -185,4 +185,26 @@
     await clock.tickAsync(10_000);
     expect(north.disconnected).toEqual(['s1']);
   });
+
+  const leaderOf = (candidates: Member[]) =>
+    candidates.find(({election}) => election.isLeader);
+
+  // Guards against members that go on to send their requests to an instance that
+  // leads no longer, because their connection to it stays open.
+  it('makes the members follow the successor of a leader that is still there', async () => {
+    const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+    await clock.tickAsync(5000);
+    const formerId = `n${all.indexOf(leaderOf(all)!) + 1}`;
+    network.cut(formerId, 'n3');
+    const successor = join('n3', 'nord-a');
+    all.push(successor);
+    while (!successor.election.isLeader) await clock.tickAsync(10);
+    network.heal(formerId, 'n3');
+    await clock.tickAsync(6000);
+    expect(countLeaders(all)).toEqual(1);
+    expect(successor.election.isLeader).toEqual(true);
+    for (const {election} of all.slice(0, 2)) {
+      expect(election.reachableLeader?.instanceId).toEqual('n3');
+    }
+  });
 });
