Keep zone leaders whose rows a restored table has lost

A leader whose row was written in the lost seconds read an older row and stepped down; until it had taken the lead again, its zone had no rates and retries, and then began with nearly empty buckets. Worse, where the copy is older than the rows of several zones, the remaining leaders divided the rates by fewer zones: with no rows at all each granted the whole rate for up to 2 s. Found in the search for numbers and rows from before a restoration.

A leader writes its row whenever the table does not name it. zone-election_test failed before: a leader missing, and two takeovers instead of one.

--- a/packages/platform/src/lib/memory-table.ts
+++ b/packages/platform/src/lib/memory-table.ts
@@ -23,12 +23,24 @@
   delayMs = 0;
   /** Number of calls so far by operation, for capacity measurements. */
   readonly calls = {get: 0, scan: 0, batch: 0};
-  private readonly rows = new Map<string, TableRow>();
+  era = 0;
+  private rows = new Map<string, TableRow>();
 
   static create(): MemoryTable {
     return new MemoryTable();
   }
 
+  /** A copy of the rows, for `restore`. */
+  copyRows(): TableRow[] {
+    return structuredClone([...this.rows.values()]);
+  }
+
+  /** Returns from an older copy: later writes are lost. */
+  restore(rows: readonly TableRow[]): void {
+    this.era += 1;
+    this.rows = new Map(rows.map(row => [row.key, structuredClone(row)]));
+  }
+
   async get(key: string): Promise<Result<TableRow | undefined, PlatformError>> {
     this.calls.get += 1;
     await this.delay();
--- a/packages/platform/src/lib/table-service.ts
+++ b/packages/platform/src/lib/table-service.ts
@@ -42,6 +42,12 @@
 }
 
 export interface TableService {
+  /**
+   * Rises each time the table returned from an older copy, in which later writes
+   * are lost and their versions are given out again; as of the last response.
+   * Absent for tables that lose nothing.
+   */
+  readonly era?: number;
   get(key: string): Promise<Result<TableRow | undefined, PlatformError>>;
   /** Returns up to `limit` rows whose keys start with `prefix`, in key order. */
   scan(
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -13,6 +13,7 @@
 import {sleep} from '@fireflytrack/time';
 import {leaderKey, parseLeaders, findRowVersion} from './leader-row.js';
 import type {Leader} from './leader-row.js';
+import {LeaderView} from './leader-view.js';
 
 export interface ZoneElectionOptions {
   self: Leader;
@@ -61,7 +62,7 @@
 const MAX_SCAN_ROWS = 200;
 
 export class ZoneElection {
-  private leaders = new Map<string, Leader>();
+  private readonly leaders = LeaderView.create();
   /** When each connection to a leader of another zone was last used. */
   private readonly lastUsedAtMs = new Map<string, number>();
   private holdsLeadership = false;
@@ -125,9 +126,9 @@
   /** Leaders of the other zones, those in the same region first. */
   get otherLeaders(): Leader[] {
     const {self} = this.options;
-    const others = [...this.leaders.values()].filter(
-      leader => leader.availabilityZone !== self.availabilityZone,
-    );
+    const others = this.leaders
+      .all()
+      .filter(leader => leader.availabilityZone !== self.availabilityZone);
     const distance = (leader: Leader) =>
       leader.region === self.region ? 0 : 1;
     return others.sort((a, b) => distance(a) - distance(b));
@@ -164,10 +165,8 @@
   }
 
   private applyRows(rows: readonly TableRow[]): void {
-    const {self, logger} = this.options;
-    const leaders = parseLeaders(rows);
-    this.leaders = new Map();
-    for (const [zone, {leader}] of leaders) this.leaders.set(zone, leader);
+    const {self, logger, table} = this.options;
+    this.leaders.apply(rows, table.era ?? 0);
     const own = this.leaders.get(self.availabilityZone);
     const leads = own?.lifeId === self.lifeId;
     if (leads === this.holdsLeadership) return;
@@ -198,7 +197,9 @@
     const zonePeers = this.zonePeers();
     const instances = zonePeers.length + 1;
     const key = leaderKey(self.availabilityZone);
-    if (this.leaders.get(self.availabilityZone)?.instances !== instances) {
+    const stored = parseLeaders(rows).get(self.availabilityZone)?.leader;
+    const isStored = stored?.lifeId === self.lifeId;
+    if (!isStored || stored.instances !== instances) {
       const ifVersion = findRowVersion(rows, key);
       const value = {...self, instances};
       const write = {kind: 'put' as const, key, ifVersion, value};
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -207,4 +207,52 @@
       expect(election.reachableLeader?.instanceId).toEqual('n3');
     }
   });
+
+  describe('when the table returned from an older copy', () => {
+    it('keeps the leaders whose rows are lost, and writes the rows again', async () => {
+      const north = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+      const south = ['s1', 's2'].map(id => join(id, 'sud-a'));
+      await clock.tickAsync(5000);
+      const leaders = [leaderOf(north), leaderOf(south)];
+      table.restore([]);
+      let fewestZones = Infinity;
+      for (let elapsedMs = 0; elapsedMs < 8000; elapsedMs += 50) {
+        await clock.tickAsync(50);
+        expect([leaderOf(north), leaderOf(south)]).toEqual(leaders);
+        for (const member of leaders) {
+          const {zoneCount} = member!.election;
+          fewestZones = Math.min(fewestZones, zoneCount);
+        }
+      }
+      // Fewer zones would give each of them a larger part of the rates.
+      expect(fewestZones).toEqual(2);
+      expect(table.copyRows().length).toEqual(2);
+    });
+
+    it('keeps the leader if the copy names one from before', async () => {
+      const first = join('n1', 'nord-a');
+      await clock.tickAsync(3000);
+      const copy = table.copyRows();
+      first.election.stop();
+      network.leave('n1');
+      const others = ['n2', 'n3'].map(id => join(id, 'nord-a'));
+      await clock.tickAsync(5000);
+      const leader = leaderOf(others)!;
+      const again = join('n1', 'nord-a', 'second-run');
+      await clock.tickAsync(3000);
+      table.restore(copy);
+      await clock.tickAsync(8000);
+      expect(leaderOf([...others, again])).toEqual(leader);
+      expect(leader.vacantForMs.length).toEqual(1);
+    });
+
+    it('gives way to a leader that another instance became since', async () => {
+      const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+      await clock.tickAsync(5000);
+      table.restore([]);
+      const other = join('n3', 'nord-a');
+      await clock.tickAsync(10_000);
+      expect(countLeaders([...all, other])).toEqual(1);
+    });
+  });
 });
