Write the fleet secret again when a restored table has lost it

Where the copy is older than the start of the fleet, an instance that started afterwards stored a new secret, could not connect to any other, and took the lead of its zone.

Instances that knew the secret in an earlier era write it again; one that joined in the present era and finds another secret joins again with it. store-restored_test failed before: the new instance never followed the leader.

--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -25,6 +25,8 @@
    * `vacantSinceMs` of the monotonic clock.
    */
   onBecomeLeader(vacantSinceMs: number): void;
+  /** Called with the rows of each read of the table. */
+  onRowsRead?(rows: readonly TableRow[]): Promise<void>;
   /** Called when this instance starts to follow a leader. */
   onFollowLeader?(leader: Leader): void;
 }
@@ -156,6 +158,8 @@
         await sleep(TABLE_RETRY_MS);
         continue;
       }
+      await this.options.onRowsRead?.(rows.val);
+      if (this.stopped) return;
       this.applyRows(rows.val);
       this.closeIdleConnections();
       if (this.holdsLeadership) await this.actAsLeader(rows.val);
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -16,7 +16,11 @@
 } from '@fireflytrack/upstream';
 import {TcpPeerNetwork} from '@fireflytrack/wire';
 import {sleep} from '@fireflytrack/time';
-import {findFleetSecret, storeNewFleetSecret} from './fleet-secret.js';
+import {
+  FleetSecretKeeper,
+  findFleetSecret,
+  storeNewFleetSecret,
+} from './fleet-secret.js';
 import {FailureExchange} from './failure-exchange.js';
 import type {ServerFailure} from './failure-exchange.js';
 import type {FeedRelay} from './feed-relay.js';
@@ -85,6 +89,10 @@
   }
 
   start(): void {
+    this.tryJoin();
+  }
+
+  private tryJoin(): void {
     this.join().catch((error: unknown) => {
       const reason = String(error);
       this.options.logger.error('failed to join the zone', {reason});
@@ -167,12 +175,18 @@
       this.retries.becomeLeader();
       this.grants.becomeLeader();
     };
+    const secretKeeper = FleetSecretKeeper.create({
+      table,
+      secret: tableState.secret,
+      onReplaced: () => void this.rejoin(),
+    });
     const election = ZoneElection.create({
       self,
       table,
       network,
       logger,
       onBecomeLeader,
+      onRowsRead: rows => secretKeeper.check(rows),
       onFollowLeader: leader => this.grants.followLeader(leader),
     });
     this.network = network;
@@ -197,6 +211,15 @@
     election.start(tableState.rows);
   }
 
+  /** Joins again with the secret that the table holds now. */
+  private async rejoin(): Promise<void> {
+    this.options.logger.warn('fleet secret replaced, joining again');
+    this.election?.stop();
+    this.limiter = undefined;
+    await this.network?.stop();
+    if (!this.stopped) this.tryJoin();
+  }
+
   private async readTable(): Promise<
     {secret: string; rows: TableRow[]} | undefined
   > {
