Accept no confirmation from a restored store that lacks policies

Callers could use a withdrawn key beyond the bound: a store that returned from an older copy confirmed the policy to an instance that had not seen the withdrawal, which stood in the lost part.

After the era has risen, pages confirm the policy only once the store holds the version that this instance knew, and operators had a second to write again what it has not seen.

--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -12,6 +12,7 @@
 import {FeedRelay} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
 import type {ClockReading} from '@fireflytrack/time';
+import {StoreProgress} from './store-progress.js';
 import {FreshnessLease} from './freshness-lease.js';
 
 export interface PolicyHolderOptions {
@@ -43,6 +44,7 @@
   private readonly follower: FeedFollower<TrafficPolicy>;
   private pendingConfirmation: Promise<void> | undefined;
   private callSentAt: ClockReading = readClocks();
+  private readonly store = StoreProgress.create();
 
   private constructor(private readonly options: PolicyHolderOptions) {
     const {feed, waitMs, logger} = options;
@@ -98,9 +100,11 @@
   }
 
   private applyPage(page: FeedPage<TrafficPolicy>, sentAt: ClockReading): void {
+    this.store.record(page, this.table?.version ?? -1);
     for (const {item} of page.rows) {
       if (item) this.applyIfNewer(item);
     }
+    if (!this.store.isComplete) return;
     this.lease.confirm(sentAt, page.confirmedOffsetMs);
   }
 
