Choose again if a server left while its grant was under way

Found in the reading of the diff; the new test failed before (2 requests at the server that left instead of 1).

--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -339,7 +339,10 @@
       this.retryAfterMs = choice.retryAfterMs;
       return;
     }
-    if (this.remainingMs >= 1) this.sendTo(choice.record);
+    const {record} = choice;
+    // A server may have left while a grant was under way.
+    if (!this.context.state.records.includes(record)) this.startAttempt();
+    else if (this.remainingMs >= 1) this.sendTo(record);
   }
 
   private get remainingMs(): number {
--- a/packages/upstream/src/test/server-limit_test.ts
+++ b/packages/upstream/src/test/server-limit_test.ts
@@ -89,8 +89,8 @@
 
   afterEach(() => scripted.stop());
 
-  async function start(script: Script): Promise<void> {
-    scripted = await ScriptedUpstream.start([script]);
+  async function start(...scripts: Script[]): Promise<void> {
+    scripted = await ScriptedUpstream.start(scripts);
   }
 
   async function send(): Promise<void> {
@@ -193,4 +193,25 @@
     await first;
     expect(knownRate()).toEqual(1000);
   });
+
+  // Guards against requests that reach a server after it left, because they had
+  // to wait for a grant.
+  it('does not lead to a server that left while a grant was under way', async () => {
+    const script: Script = request => {
+      request.socket.write(answerTo(request, {headers: LIMITED}));
+    };
+    await start(script, script);
+    await send();
+    const [first, second] = scripted.servers;
+    const before = first!.received.length;
+    expect(before).toEqual(1);
+    scripted.beforeGrant = async () => {
+      const [entry] = scripted.entries.splice(0, 1);
+      if (entry?.report.serverId === 's0')
+        scripted.upstream.removeServer(entry);
+    };
+    await send();
+    expect(first!.received.length).toEqual(before);
+    expect(second!.received.length).toEqual(1);
+  });
 });
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -1,4 +1,5 @@
 /** An upstream whose servers are scripted; the first one is tried first. */
+import type {CatalogServer} from '@fireflytrack/discovery';
 import {createLogger} from '@fireflytrack/telemetry';
 import {KnownLimits} from '../lib/known-limits.js';
 import {Upstream} from '../lib/upstream.js';
@@ -10,9 +11,13 @@
 
 export class ScriptedUpstream {
   readonly servers: ScriptedServer[] = [];
+  /** Catalog entries of the servers. */
+  readonly entries: CatalogServer[] = [];
   readonly failures: ObservedFailure[] = [];
   readonly upstream: Upstream;
   readonly limits: KnownLimits;
+  /** Runs before each grant. */
+  beforeGrant: () => Promise<void> = async () => {};
 
   private constructor() {
     const logger = createLogger({level: 'error', silent: true});
@@ -40,10 +45,10 @@
       limits: this.limits,
       // Grants every request to the preferred server.
       grants: {
-        requestGrant: async ({candidates}) => ({
-          kind: 'granted',
-          serverId: candidates[0]!.serverId,
-        }),
+        requestGrant: async ({candidates}) => {
+          await this.beforeGrant();
+          return {kind: 'granted', serverId: candidates[0]!.serverId};
+        },
         announce: () => {},
       },
       logger,
@@ -65,7 +70,7 @@
     const index = this.servers.length;
     const server = await ScriptedServer.start(script);
     this.servers.push(server);
-    this.upstream.addServer({
+    const entry: CatalogServer = {
       report: {
         serverId: `s${index}`,
         startedAtMs: 1,
@@ -82,6 +87,8 @@
       },
       warmUntilMs: 0,
       firstSeenAtMs: 0,
-    });
+    };
+    this.entries.push(entry);
+    this.upstream.addServer(entry);
   }
 }
