Pause the requests for grants by service

An owner that was not reached made an instance ask nobody for one second, also for services whose owner was well, so that their limited servers got nothing. A grant that came late without another server was refused with a Retry-After of 0.

--- a/packages/zone/src/lib/zone-limit-grants.ts
+++ b/packages/zone/src/lib/zone-limit-grants.ts
@@ -63,7 +63,9 @@
 // A grant that was under way for longer is not used, since the instance may have
 // been suspended: a late request falls into a window that it was not counted in.
 const GRANT_LIFETIME_MS = 500;
-// After nobody granted or denied a request, nobody is asked for this long.
+const LATE_RETRY_AFTER_MS = 50;
+// After nobody granted or denied a request for a service, nobody is asked on its
+// behalf for this long.
 const ASK_PAUSE_MS = 1000;
 const UNREACHABLE_RETRY_AFTER_MS = 1000;
 // A leader of a zone is replaced within about a second. An owner that cannot be
@@ -121,7 +123,8 @@
   private readonly ledger = LimitLedger.create();
   private access: LimitAccess | undefined;
   private broadcast: FleetBroadcast | undefined;
-  private askPausedUntilMs = 0;
+  /** Until when nobody is asked, by service. */
+  private readonly pausedUntilMs = new Map<string, number>();
   /** Leaders that could not be reached, by zone. */
   private readonly outages = new Map<string, Outage>();
   private readonly forwardedAtMs = new Map<string, number>();
@@ -167,7 +170,7 @@
 
   /** Exchanges the known limits with a leader that this instance follows. */
   followLeader(leader: Leader): void {
-    this.askPausedUntilMs = 0;
+    this.pausedUntilMs.clear();
     void this.synchronize(leader);
   }
 
@@ -181,7 +184,7 @@
     if (!decision) return this.decideAlone(request);
     const isLate = elapsedSince(startedAt) > GRANT_LIFETIME_MS;
     return decision.kind === 'granted' && isLate
-      ? {kind: 'at-limit', retryAfterMs: 0}
+      ? {kind: 'at-limit', retryAfterMs: LATE_RETRY_AFTER_MS}
       : decision;
   }
 
@@ -203,11 +206,15 @@
   private async ask(request: TakeRequest): Promise<GrantDecision | undefined> {
     if (!this.access) return undefined;
     const {election} = this.access;
-    if (performance.now() < this.askPausedUntilMs) return undefined;
+    const {service} = request;
+    const pausedUntilMs = this.pausedUntilMs.get(service) ?? 0;
+    if (performance.now() < pausedUntilMs) return undefined;
     const decision = election.isLeader
       ? await this.findDecision(request)
       : await this.askLeaders(request);
-    if (!decision) this.askPausedUntilMs = performance.now() + ASK_PAUSE_MS;
+    if (!decision) {
+      this.pausedUntilMs.set(service, performance.now() + ASK_PAUSE_MS);
+    }
     return decision;
   }
 
