Give an instance the newest policy that its leader knows

A callers' request got 404 on a route, or was accepted with a withdrawn key, at an instance that started after the store had returned from an older copy and before the operator wrote again: it knew nothing newer than the copy, although its leader did.

An instance asks the leader that it starts to follow for a newer policy, and a new leader asks that of another zone: one message for each, and the policy only if it is newer. store-restored_test failed before: 404 for 5 s.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -189,6 +189,7 @@
         {feed: policyFeed, relay: this.policies.relay},
         {feed: serverFeed, relay: serverRelay},
       ],
+      followers: [this.policies.exchange],
       onServerFailure: ({serverId, service}) =>
         this.upstream.recordReportedFailure(serverId, service),
       logger,
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -12,6 +12,7 @@
 import {FeedRelay} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
 import type {ClockReading} from '@fireflytrack/time';
+import {PolicyExchange} from './policy-exchange.js';
 import {StoreProgress} from './store-progress.js';
 import {FreshnessLease} from './freshness-lease.js';
 
@@ -40,6 +41,8 @@
     {name: 'policy', maxAgeMs: RELAY_AGE_LIMIT_MS},
     () => this.lease.ageMs(),
   );
+  /** Exchanges the newest policy with zone leaders. */
+  readonly exchange: PolicyExchange;
   private table: PolicyTable | undefined;
   private readonly follower: FeedFollower<TrafficPolicy>;
   private pendingConfirmation: Promise<void> | undefined;
@@ -48,6 +51,11 @@
 
   private constructor(private readonly options: PolicyHolderOptions) {
     const {feed, waitMs, logger} = options;
+    this.exchange = PolicyExchange.create({
+      current: () => this.table?.policy,
+      offer: policy => this.applyIfNewer(policy),
+      logger,
+    });
     this.follower = FeedFollower.create({
       name: 'policy feed',
       feed,
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -8,6 +8,7 @@
 } from './lib/failure-exchange.js';
 export {FeedRelay} from './lib/feed-relay.js';
 export {RelayedFeed} from './lib/relayed-feed.js';
+export type {RelayAccess} from './lib/relayed-feed.js';
 export type {Leader} from './lib/leader-row.js';
 export type {RateDecision, RateLimiter} from './lib/rate-limiter.js';
 export type {RateBounds} from './lib/zone-buckets.js';
@@ -15,4 +16,4 @@
 export {ZoneLimitGrants} from './lib/zone-limit-grants.js';
 export {ZoneBuckets} from './lib/zone-buckets.js';
 export {ZoneMember} from './lib/zone-member.js';
-export type {ZoneMemberOptions} from './lib/zone-member.js';
+export type {LeaderFollower, ZoneMemberOptions} from './lib/zone-member.js';
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -24,7 +24,7 @@
 import {FailureExchange} from './failure-exchange.js';
 import type {ServerFailure} from './failure-exchange.js';
 import type {FeedRelay} from './feed-relay.js';
-import type {RelayedFeed} from './relayed-feed.js';
+import type {RelayAccess, RelayedFeed} from './relayed-feed.js';
 import type {Leader} from './leader-row.js';
 import type {RateDecision, RateLimiter} from './rate-limiter.js';
 import type {RetryBounds} from './retry-ledger.js';
@@ -50,11 +50,22 @@
   estimateInstances(): number;
   /** Feeds that the leader reads on behalf of the zone. */
   relays: RelayPair[];
+  followers: LeaderFollower[];
   /** Called when another instance reports a failed backend server. */
   onServerFailure(failure: ServerFailure): void;
   logger: Logger;
 }
 
+/** A part of the instance that exchanges data with the leaders of zones. */
+export interface LeaderFollower {
+  /** Called once the instance has joined its zone. */
+  join(access: RelayAccess): void;
+  /** Called when the instance starts to follow a leader. */
+  followLeader(leader: Leader): void;
+  /** Called when the instance becomes leader of its zone. */
+  becomeLeader(): void;
+}
+
 /** A feed that this instance reads, and the relay that serves it to others. */
 export interface RelayPair {
   feed: Pick<RelayedFeed<never>, 'useRelay'>;
@@ -173,7 +184,7 @@
     const onBecomeLeader = (vacantSinceMs: number) => {
       this.limiter?.becomeLeader(vacantSinceMs);
       this.retries.becomeLeader();
-      this.grants.becomeLeader();
+      for (const follower of this.followers) follower.becomeLeader();
     };
     const secretKeeper = FleetSecretKeeper.create({
       table,
@@ -187,7 +198,9 @@
       logger,
       onBecomeLeader,
       onRowsRead: rows => secretKeeper.check(rows),
-      onFollowLeader: leader => this.grants.followLeader(leader),
+      onFollowLeader: leader => {
+        for (const follower of this.followers) follower.followLeader(leader);
+      },
     });
     this.network = network;
     this.election = election;
@@ -198,7 +211,7 @@
       findTeam: teamOf,
     });
     this.retries.join({network, election});
-    this.grants.join({network, election});
+    for (const follower of this.followers) follower.join({network, election});
     this.failureExchange = FailureExchange.create({
       network,
       election,
@@ -220,6 +233,10 @@
     if (!this.stopped) this.tryJoin();
   }
 
+  private get followers(): LeaderFollower[] {
+    return [this.grants, ...this.options.followers];
+  }
+
   private async readTable(): Promise<
     {secret: string; rows: TableRow[]} | undefined
   > {
