Split messages, isolated grants and outcomes into modules of their own

Nothing changes but the place: messages about limits, the grants of an isolated instance, the outcome of a request, the naive variant of the limits' fleet, and the policy text of tests.

--- a/packages/gateway/src/test/store-progress_test.ts
+++ b/packages/gateway/src/test/store-progress_test.ts
@@ -8,6 +8,7 @@
 import {expect} from 'earl';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {StoreProgress} from '../lib/store-progress.js';
+import {policyText} from '../testing/policy-text.js';
 
 const REWRITE_MS = 1000;
 
@@ -68,27 +69,5 @@
 });
 
 function policyOf(version: number) {
-  const text = `
-[policy]
-version = ${version}
-[limits]
-max_header_bytes = 16384
-max_body_bytes = 1000
-header_timeout_ms = 1000
-idle_timeout_ms = 15000
-[service.counting]
-health_path = /healthz
-max_connections_per_server = 10
-[route.reads]
-host = shop.example
-prefix = /reads/
-execution = idempotent
-parts = counting:100
-timeout_ms = 1000
-target_latency_ms = 500
-max_attempts = 2
-rank = 1
-open = yes
-`;
-  return parsePolicyText(text, 'test.ini').unwrap();
+  return parsePolicyText(policyText({version}), 'test.ini').unwrap();
 }
--- a/packages/gateway/src/testing/endless-caller.ts
+++ b/packages/gateway/src/testing/endless-caller.ts
@@ -17,6 +17,7 @@
 import {RequestHandler} from '../lib/request-handler.js';
 import type {RequestHandlerOptions} from '../lib/request-handler.js';
 import {freePort} from './free-port.js';
+import {policyText} from './policy-text.js';
 
 const TIMEOUT_MS = 1000;
 const CLOSE_WITHIN_MS = 2000;
@@ -25,29 +26,6 @@
 const PIECE_BYTES = 65_536;
 const SLOW_MS = 200;
 
-const POLICY = `
-[policy]
-version = 1
-[limits]
-max_header_bytes = 16384
-max_body_bytes = ${MAX_BODY_BYTES}
-header_timeout_ms = 1000
-idle_timeout_ms = 15000
-[service.counting]
-health_path = /healthz
-max_connections_per_server = 10
-[route.reads]
-host = shop.example
-prefix = /reads/
-execution = idempotent
-parts = counting:100
-timeout_ms = ${TIMEOUT_MS}
-target_latency_ms = 500
-max_attempts = 2
-rank = 1
-open = yes
-`;
-
 /** Head of a request; `framing` holds further header lines. */
 export function head(path: string, framing = ''): string {
   return (
@@ -96,7 +74,10 @@
   /** Starts the entry of a gateway. */
   static async start(): Promise<EndlessCaller> {
     const table = PolicyTable.create(
-      parsePolicyText(POLICY, 'policy.ini').unwrap(),
+      parsePolicyText(
+        policyText({maxBodyBytes: MAX_BODY_BYTES}),
+        'policy.ini',
+      ).unwrap(),
     );
     const policies = {
       current: () => table,
--- a/packages/proofs/src/lib/limit-fleet.ts
+++ b/packages/proofs/src/lib/limit-fleet.ts
@@ -5,7 +5,7 @@
  */
 import {createLogger} from '@fireflytrack/telemetry';
 import {KnownLimits} from '@fireflytrack/upstream';
-import type {GrantDecision, LimitGrants} from '@fireflytrack/upstream';
+import type {LimitGrants} from '@fireflytrack/upstream';
 import {
   ServerChooser,
   ServerPicker,
@@ -19,6 +19,7 @@
 import {exponentialMs, seededRandom} from './health-random.js';
 import type {Random} from './health-random.js';
 import {LimitServer} from './limit-server.js';
+import {LoneGrants} from './limit-naive.js';
 import type {LimitPhase} from './limit-server.js';
 
 export type LimitVariant =
@@ -386,23 +387,3 @@
     }, delayMs + workMs);
   }
 }
-
-/** Lets its instance use the whole limit of each server. */
-class LoneGrants implements LimitGrants {
-  private readonly grantedAtMs = new Map<string, number>();
-
-  async requestGrant({
-    candidates,
-  }: Parameters<LimitGrants['requestGrant']>[0]): Promise<GrantDecision> {
-    const nowMs = performance.now();
-    for (const {serverId, requestsPerSecond} of candidates) {
-      const lastMs = this.grantedAtMs.get(serverId) ?? -Infinity;
-      if (nowMs - lastMs < 1000 / requestsPerSecond) continue;
-      this.grantedAtMs.set(serverId, nowMs);
-      return {kind: 'granted', serverId};
-    }
-    return {kind: 'at-limit', retryAfterMs: 100};
-  }
-
-  announce(): void {}
-}
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,11 +1,8 @@
 /** Backend server selection, connections, attempts and retries. */
 export type {HeaderNames} from './lib/http-conventions.js';
 export {endToEndHeaders} from './lib/connection-headers.js';
-export type {
-  AttemptReport,
-  RunOptions,
-  UpstreamOutcome,
-} from './lib/request-run.js';
+export type {AttemptReport, UpstreamOutcome} from './lib/upstream-outcome.js';
+export type {RunOptions} from './lib/request-run.js';
 export {KnownLimits} from './lib/known-limits.js';
 export type {KnownLimit, ServerRun} from './lib/known-limits.js';
 export type {
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -15,6 +15,7 @@
 import type {Choice, ServerChooser} from './server-chooser.js';
 import type {ServerRecord} from './server-record.js';
 import type {ServiceState} from './service-state.js';
+import type {AttemptReport, UpstreamOutcome} from './upstream-outcome.js';
 import type {UpstreamResponse, UpstreamRequest} from './upstream-request.js';
 
 export interface RunOptions {
@@ -34,29 +35,6 @@
   abandoned: AbortSignal;
 }
 
-/** One attempt, as it is logged. */
-export interface AttemptReport {
-  server: string;
-  result: AttemptResult['kind'] | 'given-up';
-  reason?: string;
-  tookMs: number;
-}
-
-export type UpstreamOutcome = {
-  attempts: AttemptReport[];
-  /** Servers that were not used because they are at their limits. */
-  turnedAway: string[];
-} & (
-  | {kind: 'answered'; response: UpstreamResponse; serverId: string}
-  /** The request has not run and will not run. */
-  | {kind: 'not-run'; reason: string; retryAfterMs?: number}
-  /** The request may have run; there is no response to forward. */
-  | {kind: 'unknown'; reason: string}
-  /** The deadline passed after the request was sent. */
-  | {kind: 'deadline'}
-  | {kind: 'abandoned'}
-);
-
 export interface RunContext {
   state: ServiceState;
   headerNames: HeaderNames;
--- a/packages/upstream/src/test/endless-response_test.ts
+++ b/packages/upstream/src/test/endless-response_test.ts
@@ -8,7 +8,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, describe, it} from 'node:test';
 import type {Upstream} from '../lib/upstream.js';
-import type {UpstreamOutcome} from '../lib/request-run.js';
+import type {UpstreamOutcome} from '../lib/upstream-outcome.js';
 import {answerTo} from '../testing/scripted-server.js';
 import type {ScriptedServer} from '../testing/scripted-server.js';
 import type {Script} from '../testing/scripted-server.js';
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -9,7 +9,8 @@
 import type {Script} from '../testing/scripted-server.js';
 import {SERVICE, ScriptedUpstream} from '../testing/scripted-upstream.js';
 import type {Upstream} from '../lib/upstream.js';
-import type {RunOptions, UpstreamOutcome} from '../lib/request-run.js';
+import type {RunOptions} from '../lib/request-run.js';
+import type {UpstreamOutcome} from '../lib/upstream-outcome.js';
 
 function chunkedHead(requestId: string): string {
   return (
--- a/packages/zone/src/lib/zone-limit-grants.ts
+++ b/packages/zone/src/lib/zone-limit-grants.ts
@@ -21,13 +21,22 @@
   ServerRun,
 } from '@fireflytrack/upstream';
 import type {PeerNetwork} from '@fireflytrack/wire';
-import {z} from 'zod';
-import {FleetBroadcast, scopeSchema} from './fleet-broadcast.js';
+import {FleetBroadcast} from './fleet-broadcast.js';
 import type {FleetBroadcastOptions} from './fleet-broadcast.js';
 import type {Leader} from './leader-row.js';
+import {IsolatedGrants} from './isolated-grants.js';
 import {LIMIT_WINDOW_MS} from './limit-bucket.js';
 import {LimitLedger} from './limit-ledger.js';
-import {SlidingWindowCounter} from './sliding-window-counter.js';
+import {
+  CHANGE_KIND,
+  SYNC_KIND,
+  TAKE_KIND,
+  changeSchema,
+  syncSchema,
+  takeRequestSchema,
+  takeResponseSchema,
+} from './limit-messages.js';
+import type {LimitChange, LimitMessage, TakeRequest} from './limit-messages.js';
 import type {ZoneElection} from './zone-election.js';
 
 export interface LimitElection {
@@ -48,10 +57,6 @@
   election: LimitElection;
 }
 
-const CHANGE_KIND = 'limit.change';
-const SYNC_KIND = 'limit.sync';
-const TAKE_KIND = 'limit.take';
-
 // A leader of another region responds within some 20 ms; a new connection to it
 // takes three round trips.
 const FORWARD_TIMEOUT_MS = 100;
@@ -67,51 +72,14 @@
 // After nobody granted or denied a request for a service, nobody is asked on its
 // behalf for this long.
 const ASK_PAUSE_MS = 1000;
-const UNREACHABLE_RETRY_AFTER_MS = 1000;
 // A leader of a zone is replaced within about a second. An owner that cannot be
 // reached for a whole window has a deputy.
 const DEPUTY_AFTER_MS = LIMIT_WINDOW_MS;
 // An owner with a deputy is tried again after this time.
 const OWNER_RETRY_MS = 1000;
-// An instance that reaches nobody may use its part of this fraction of a limit,
-// in whole requests.
-const ISOLATED_FRACTION = 0.25;
-const ISOLATED_SLICES = 10;
 // A leader forwards an unchanged limit at most this often.
 const MIN_FORWARD_INTERVAL_MS = 1000;
 const MAX_SYNCED_LIMITS = 500;
-const MAX_CANDIDATES = 64;
-const MS_PER_SECOND = 1000;
-
-const serverRunSchema = z.object({
-  serverId: z.string(),
-  service: z.string(),
-  startedAtMs: z.number(),
-});
-const limitSchema = serverRunSchema.extend({
-  requestsPerSecond: z.number().positive(),
-});
-const changeSchema = serverRunSchema.extend({
-  /** Absent if the limit has ended. */
-  requestsPerSecond: z.number().positive().optional(),
-  scope: scopeSchema,
-});
-type LimitChange = z.infer<typeof changeSchema>;
-const syncSchema = z.object({limits: z.array(limitSchema)});
-const takeRequestSchema = z.object({
-  service: z.string(),
-  team: z.string().optional(),
-  rank: z.number(),
-  candidates: z.array(limitSchema).min(1).max(MAX_CANDIDATES),
-  isOnlyChoice: z.boolean(),
-  /** Whether a leader forwarded the request; it is not forwarded again. */
-  forwarded: z.boolean(),
-});
-type TakeRequest = z.infer<typeof takeRequestSchema>;
-const takeResponseSchema = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('granted'), serverId: z.string()}),
-  z.object({kind: z.literal('at-limit'), retryAfterMs: z.number()}),
-]);
 
 /** An owner that could not be reached, by monotonic times. */
 interface Outage {
@@ -128,9 +96,11 @@
   /** Leaders that could not be reached, by zone. */
   private readonly outages = new Map<string, Outage>();
   private readonly forwardedAtMs = new Map<string, number>();
-  private readonly isolatedUse = new Map<string, SlidingWindowCounter>();
+  private readonly isolated: IsolatedGrants;
 
-  private constructor(private readonly options: ZoneLimitGrantsOptions) {}
+  private constructor(private readonly options: ZoneLimitGrantsOptions) {
+    this.isolated = IsolatedGrants.create(() => options.instances());
+  }
 
   static create(options: ZoneLimitGrantsOptions): ZoneLimitGrants {
     return new ZoneLimitGrants(options);
@@ -181,7 +151,7 @@
       team: request.team,
       forwarded: false,
     });
-    if (!decision) return this.decideAlone(request);
+    if (!decision) return this.isolated.decide(request);
     const isLate = elapsedSince(startedAt) > GRANT_LIFETIME_MS;
     return decision.kind === 'granted' && isLate
       ? {kind: 'at-limit', retryAfterMs: LATE_RETRY_AFTER_MS}
@@ -316,33 +286,6 @@
     return rankByRendezvous(service, [...new Set([...zones, own])]);
   }
 
-  /**
-   * Decides without any leader: whole requests of this instance's part of a
-   * fraction of the limit. It is 0 for limits that are low for the fleet's size.
-   */
-  private decideAlone({candidates}: GrantRequest): GrantDecision {
-    const instances = this.options.instances();
-    for (const candidate of candidates) {
-      const key = toKey(candidate);
-      const inWindow =
-        (candidate.requestsPerSecond * LIMIT_WINDOW_MS) / MS_PER_SECOND;
-      const part = Math.floor((inWindow * ISOLATED_FRACTION) / instances);
-      if (part === 0) continue;
-      let use = this.isolatedUse.get(key);
-      if (!use) {
-        const sliceMs = LIMIT_WINDOW_MS / ISOLATED_SLICES;
-        use = SlidingWindowCounter.create(sliceMs, ISOLATED_SLICES + 1);
-        if (this.isolatedUse.size >= MAX_SYNCED_LIMITS)
-          this.isolatedUse.clear();
-        this.isolatedUse.set(key, use);
-      }
-      if (use.sum() >= part) continue;
-      use.add();
-      return {kind: 'granted', serverId: candidate.serverId};
-    }
-    return {kind: 'unreachable', retryAfterMs: UNREACHABLE_RETRY_AFTER_MS};
-  }
-
   private receiveChange(sender: string, change: LimitChange): void {
     const {limits} = this.options;
     const {serverId, service, startedAtMs, requestsPerSecond} = change;
@@ -380,12 +323,12 @@
     if (synced.success) this.learnAll(synced.data.limits);
   }
 
-  private listLimits(): z.infer<typeof limitSchema>[] {
+  private listLimits(): LimitMessage[] {
     return this.options.limits.list().slice(0, MAX_SYNCED_LIMITS);
   }
 
   /** Learns limits that are not known; what is known may be more recent. */
-  private learnAll(learned: readonly z.infer<typeof limitSchema>[]): void {
+  private learnAll(learned: readonly LimitMessage[]): void {
     const {limits} = this.options;
     for (const limit of learned) {
       if (!limits.find(limit)) limits.learn(limit, 'peer');
