Ask a leader before the store may confirm the first policy

A process that has just started cannot see that the era has risen.

Until it has asked the leader that it follows, or is the only leader, or a second has passed, pages of the store confirm nothing; the last confirmation from that time counts afterwards.

--- a/packages/gateway/src/lib/policy-exchange.ts
+++ b/packages/gateway/src/lib/policy-exchange.ts
@@ -16,6 +16,8 @@
   current(): TrafficPolicy | undefined;
   /** Takes a policy that may be newer than the one in force. */
   offer(policy: TrafficPolicy): void;
+  /** Called when a leader was asked, or there is none to ask. */
+  onAsked(): void;
   logger: Logger;
 }
 
@@ -58,9 +60,15 @@
   becomeLeader(): void {
     const [other] = this.access?.election.otherLeaders ?? [];
     if (other) void this.requestNewest(other);
+    else this.options.onAsked();
   }
 
   private async requestNewest(leader: Leader): Promise<void> {
+    await this.offerNewest(leader);
+    this.options.onAsked();
+  }
+
+  private async offerNewest(leader: Leader): Promise<void> {
     const {network, election} = this.access!;
     const {current, offer, logger} = this.options;
     if (!(await election.connect(leader, CONNECT_TIMEOUT_MS))) return;
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -48,12 +48,17 @@
   private pendingConfirmation: Promise<void> | undefined;
   private callSentAt: ClockReading = readClocks();
   private readonly store = StoreProgress.create();
+  /** The last confirmation before a leader was asked. */
+  private firstConfirmation:
+    | {sentAt: ClockReading; offsetMs: number}
+    | undefined;
 
   private constructor(private readonly options: PolicyHolderOptions) {
     const {feed, waitMs, logger} = options;
     this.exchange = PolicyExchange.create({
       current: () => this.table?.policy,
       offer: policy => this.applyIfNewer(policy),
+      onAsked: () => this.endLeaderWait(),
       logger,
     });
     this.follower = FeedFollower.create({
@@ -112,8 +117,18 @@
     for (const {item} of page.rows) {
       if (item) this.applyIfNewer(item);
     }
-    if (!this.store.isComplete) return;
-    this.lease.confirm(sentAt, page.confirmedOffsetMs);
+    const offsetMs = page.confirmedOffsetMs;
+    if (this.store.awaitsLeader) this.firstConfirmation = {sentAt, offsetMs};
+    else if (this.store.isComplete) this.lease.confirm(sentAt, offsetMs);
+  }
+
+  private endLeaderWait(): void {
+    this.store.endLeaderWait();
+    const first = this.firstConfirmation;
+    this.firstConfirmation = undefined;
+    if (first && this.store.isComplete) {
+      this.lease.confirm(first.sentAt, first.offsetMs);
+    }
   }
 
   private applyIfNewer(policy: TrafficPolicy): void {
--- a/packages/gateway/src/lib/store-progress.ts
+++ b/packages/gateway/src/lib/store-progress.ts
@@ -3,13 +3,17 @@
  *
  * A store that returned from an older copy lacks the last ones until operators
  * write them again. Until then it cannot confirm that nothing newer exists: a key
- * may have been withdrawn in the part that is lost.
+ * may have been withdrawn in the part that is lost. An instance that has just
+ * started cannot see that the store was restored, and asks a zone leader first.
  */
 import type {FeedPage} from '@fireflytrack/discovery';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 
 // Time that operators have to write again what this instance has not seen.
 const REWRITE_MS = 1000;
+// An instance that reaches no leader after its start relies on the store alone
+// from then on.
+const MAX_LEADER_WAIT_MS = 1000;
 
 export class StoreProgress {
   private era: number | undefined;
@@ -17,11 +21,22 @@
   private lostVersion: number | undefined;
   /** Until when the store may lack policies that this instance has not seen. */
   private incompleteUntilMs = 0;
+  private leaderWaitUntilMs = performance.now() + MAX_LEADER_WAIT_MS;
 
   static create(): StoreProgress {
     return new StoreProgress();
   }
 
+  /** A leader has said which policy it knows, or there is none to ask. */
+  endLeaderWait(): void {
+    this.leaderWaitUntilMs = 0;
+  }
+
+  /** Whether the instance has just started and has not asked a leader yet. */
+  get awaitsLeader(): boolean {
+    return performance.now() < this.leaderWaitUntilMs;
+  }
+
   /** Records a page; `knownVersion` is the policy that was in force before. */
   record(page: FeedPage<TrafficPolicy>, knownVersion: number): void {
     const {era} = page.position;
@@ -37,6 +52,7 @@
   /** Whether pages of the store confirm that no newer policy exists. */
   get isComplete(): boolean {
     return (
+      !this.awaitsLeader &&
       this.lostVersion === undefined &&
       performance.now() >= this.incompleteUntilMs
     );
--- a/packages/gateway/src/test/store-progress_test.ts
+++ b/packages/gateway/src/test/store-progress_test.ts
@@ -18,6 +18,7 @@
   beforeEach(() => {
     clock = FakeTimers.install({toFake: ['performance']});
     progress = StoreProgress.create();
+    progress.endLeaderWait();
     record(1, 7, -1);
   });
   afterEach(() => clock.uninstall());
@@ -33,6 +34,16 @@
     progress.record({rows, position, confirmedOffsetMs: 0}, knownVersion);
   }
 
+  it('is incomplete after the start until a leader was asked or not reached', () => {
+    const asking = StoreProgress.create();
+    expect(asking.isComplete).toEqual(false);
+    asking.endLeaderWait();
+    expect(asking.isComplete).toEqual(true);
+    const alone = StoreProgress.create();
+    clock.tick(1000);
+    expect(alone.isComplete).toEqual(true);
+  });
+
   it('is complete in the first era, whatever the store holds', () => {
     expect(progress.isComplete).toEqual(true);
     record(1, 3);
