--- a/packages/gateway/src/lib/caller-body.ts
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -67,7 +67,7 @@
   }
 
   private read(waitMs: number): void {
-    const timer = setTimeout(() => this.give({kind: 'too-slow'}), waitMs);
+    const timer = setTimeout(() => this.settle({kind: 'too-slow'}), waitMs);
     void this.result.then(() => clearTimeout(timer));
     const {request} = this;
     request.on('end', this.onEnd);
@@ -85,7 +85,7 @@
       return;
     }
     this.buffered.append(chunk);
-    if (this.bytes > this.maxBytes) this.give({kind: 'too-large'});
+    if (this.bytes > this.maxBytes) this.settle({kind: 'too-large'});
     else if (this.bytes > MAX_BUFFERED_BYTES) this.startStream();
   }
 
@@ -111,16 +111,16 @@
       return;
     }
     const bytes = this.buffered.take();
-    this.give({kind: 'read', body: {kind: 'buffered', bytes}});
+    this.settle({kind: 'read', body: {kind: 'buffered', bytes}});
   }
 
   /** The caller disconnected before the body was complete. */
   private abandon(): void {
     if (this.stream) this.stream.destroy(new Error('the body is incomplete'));
-    else this.give({kind: 'abandoned'});
+    else this.settle({kind: 'abandoned'});
   }
 
-  private give(result: BodyResult): void {
+  private settle(result: BodyResult): void {
     if (this.stream) return;
     this.detach();
     this.resolve(result);
