Skip the rest of a large body whose request was refused

Cause: such a body becomes a stream for the server. When no server takes it, nobody reads the stream, and its backpressure pauses the request again after CallerConnection.discardRest resumed it, until the time for discarding ends.

The handler closes the stream once the request is over without a response; the reader lets go of the request, and the rest is skipped. After a response the stream stays open, because a server may answer before it has read the body.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -180,6 +180,8 @@
       abandoned: openRequest.abandoned.signal,
     });
     if (team && outcome.kind === 'not-run') this.options.limiter.refund(team);
+    // After a response, a server may still be reading the body.
+    if (outcome.kind !== 'answered') discardBody(read.body);
     return outcome;
   }
 
@@ -386,6 +388,11 @@
   }
 }
 
+/** Stops reading for a server, so that the rest of the body can be skipped. */
+function discardBody(body: RequestBody): void {
+  if (body.kind === 'stream') body.stream.destroy();
+}
+
 function rejectAs(code: Rejection['code'], reason: string): Admission {
   return {ok: false, value: {code, reason}};
 }
--- a/packages/gateway/src/test/endless-request_test.ts
+++ b/packages/gateway/src/test/endless-request_test.ts
@@ -80,4 +80,18 @@
     const text = await caller.sendWithoutEnd(REQUESTS['chunked body']!);
     expect(/"(body-too-large|outcome-unknown)"/.test(text)).toEqual(true);
   });
+
+  // An unread rest would block the next request, and a connection that is closed
+  // with unread bytes is reset, so that the response may be lost.
+  it('serves the next request after it refused one with a large body', async () => {
+    const body = LARGE_CHUNK.repeat(200) + '0\r\n\r\n';
+    const text = await caller.sendText(
+      `${head('/reads/refused', CHUNKED)}${body}` +
+        head('/reads/1', 'Content-Length: 0\r\n'),
+    );
+    expect(text.match(/HTTP\/1\.1 \d+/g)).toEqual([
+      'HTTP/1.1 503',
+      'HTTP/1.1 200',
+    ]);
+  });
 });
--- a/packages/gateway/src/testing/endless-caller.ts
+++ b/packages/gateway/src/testing/endless-caller.ts
@@ -103,6 +103,19 @@
     return received;
   }
 
+  /** Returns what was received until the connection closed or for 2 s. */
+  async sendText(text: string): Promise<string> {
+    const socket = connect(this.port, '127.0.0.1');
+    this.sockets.push(socket);
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    socket.on('error', () => {});
+    socket.write(text);
+    const closed = new Promise<void>(resolve => socket.once('close', resolve));
+    await Promise.race([closed, delay(CLOSE_WITHIN_MS)]);
+    return received;
+  }
+
   private sendRequest(): Promise<string> {
     return new Promise((resolve, reject) => {
       const socket = connect(this.port, '127.0.0.1');
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -29,11 +29,14 @@
 const MAX_BODY_BYTES = 4_000_000;
 const SLOW_MS = 200;
 
-/** Reads the request up to its deadline, and answers it. */
+/** Reads the request up to its deadline, and answers or refuses it. */
 async function runAtServer(options: RunOptions): Promise<UpstreamOutcome> {
   const {request, deadlineAtMs} = options;
   const noAttempts = {attempts: [], turnedAway: []};
   if (request.target.endsWith('slow')) await delay(SLOW_MS);
+  if (request.target.endsWith('refused')) {
+    return {kind: 'not-run', reason: 'no server has room', ...noAttempts};
+  }
   if (request.body.kind === 'stream') {
     const waitMs = Math.max(0, Math.ceil(deadlineAtMs - performance.now()));
     const signal = AbortSignal.timeout(waitMs);
