Bound what a body stream collects within one iteration

Cause: BodyStream passed chunks on only at the end of an iteration of the event loop, and one iteration may read up to 32 times 64 KiB of a socket. The source was paused too late. It is now passed on, and paused, as soon as 128 KiB are pending.

--- a/packages/body/src/lib/body-stream.ts
+++ b/packages/body/src/lib/body-stream.ts
@@ -31,6 +31,8 @@
 
   append(chunk: Buffer): void {
     this.pending.append(chunk);
+    // One iteration may read megabytes before its end.
+    if (this.pending.byteLength >= MAX_BUFFERED_BYTES) this.flush();
     if (this.isFlushScheduled) return;
     this.isFlushScheduled = true;
     // Node's HTTP parser runs the tick queue after each chunk.
--- a/packages/body/src/test/body-stream_test.ts
+++ b/packages/body/src/test/body-stream_test.ts
@@ -53,6 +53,15 @@
     expect(source.resumes > 0).toEqual(true);
   });
 
+  // A fast source would fill the memory within one iteration.
+  it('pauses its source within one iteration', () => {
+    const source = new CountingSource();
+    const stream = BodyStream.create(source);
+    const chunk = Buffer.alloc(65_536);
+    for (let i = 0; i < 4; i++) stream.append(chunk);
+    expect(source.pauses > 0).toEqual(true);
+  });
+
   it('closes its source when the reader leaves', async () => {
     const source = new CountingSource();
     const stream = BodyStream.create(source);
