Log what each request waited for that a stop cuts

A user's record shows a request whose server had answered, while its caller got nothing until the instance ended at the bound of its stop. The line `stopped` gave the number of requests that were cut, but not which, nor what they waited for; a response that was written but not delivered counted as finished.

Each open request now carries its phase, and the responses that have not been sent completely are kept in order for each connection. At the end of a stop, one line for each (at most 100) gives the request's id, phase, age and the number of requests that precede it. No decision is changed.

Processor time was not measured alone.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -2,10 +2,36 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** What an open request waits for. */
+export type RequestPhase =
+  /** Checks of route, team and freshness. */
+  | 'admission'
+  /** The caller has not sent the whole body yet. */
+  | 'body'
+  | 'rate-limit'
+  /** A backend server, or the decision whether to retry. */
+  | 'server'
+  /** The caller has not read the whole response yet. */
+  | 'response'
+  /** An earlier request on the connection has no complete response yet. */
+  | 'earlier-response';
+
 export interface OpenRequest {
+  requestId: string;
   response: ServerResponse;
   /** Aborted when the connection ends before the response is complete. */
   abandoned: AbortController;
+  phase: RequestPhase;
+  openedAtMs: number;
+}
+
+/** An open request as it is logged. */
+export interface OpenRequestReport {
+  requestId: string;
+  phase: RequestPhase;
+  ageMs: number;
+  /** Number of requests that precede it on its connection. */
+  precedingRequests: number;
 }
 
 // What a caller sends after its response is discarded within these bounds, so
@@ -15,6 +41,8 @@
 
 export class CallerConnection {
   private readonly openRequests: OpenRequest[] = [];
+  /** Requests whose response has not been sent completely, in order. */
+  private readonly undelivered: OpenRequest[] = [];
   /** The current response closes the connection, or it is being closed. */
   private closing = false;
   private lastActiveAtMs = performance.now();
@@ -32,13 +60,33 @@
    * Registers a request. Returns undefined when an earlier response closes the
    * connection: callers resend requests that were pipelined after it.
    */
-  open(response: ServerResponse): OpenRequest | undefined {
+  open(requestId: string, response: ServerResponse): OpenRequest | undefined {
     if (this.closing) return undefined;
-    const openRequest = {response, abandoned: new AbortController()};
+    const openRequest: OpenRequest = {
+      requestId,
+      response,
+      abandoned: new AbortController(),
+      phase: 'admission',
+      openedAtMs: performance.now(),
+    };
     this.openRequests.push(openRequest);
+    this.undelivered.push(openRequest);
+    response.once('close', () => {
+      this.undelivered.splice(this.undelivered.indexOf(openRequest), 1);
+    });
     return openRequest;
   }
 
+  /** Requests whose response has not been sent completely, in order. */
+  reportUndelivered(): OpenRequestReport[] {
+    return this.undelivered.map((openRequest, precedingRequests) => ({
+      requestId: openRequest.requestId,
+      phase: currentPhase(openRequest, precedingRequests),
+      ageMs: Math.round(performance.now() - openRequest.openedAtMs),
+      precedingRequests,
+    }));
+  }
+
   finish(openRequest: OpenRequest): void {
     const index = this.openRequests.indexOf(openRequest);
     if (index >= 0) this.openRequests.splice(index, 1);
@@ -114,6 +162,14 @@
   }
 }
 
+function currentPhase(
+  {response, phase}: OpenRequest,
+  precedingRequests: number,
+): RequestPhase {
+  if (!response.headersSent) return phase;
+  return precedingRequests > 0 ? 'earlier-response' : 'response';
+}
+
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
@@ -136,6 +192,13 @@
     return connection;
   }
 
+  /** Requests of all connections whose response has not been sent completely. */
+  reportUndelivered(): OpenRequestReport[] {
+    return [...this.connections.values()].flatMap(connection =>
+      connection.reportUndelivered(),
+    );
+  }
+
   closeIdle(idleMs: number): void {
     for (const connection of this.connections.values()) {
       connection.closeIfIdle(idleMs);
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -59,6 +59,8 @@
 // request.
 const STOP_MARGIN_MS = 400;
 const STOP_CHECK_INTERVAL_MS = 50;
+// Bounds the log lines about requests that are cut at the end of the stop.
+const MAX_CUT_LINES = 100;
 const MS_PER_SECOND = 1000;
 
 export class GatewayProcess {
@@ -312,7 +314,7 @@
       if (this.connections.size === 0) break;
     }
     this.log.flush();
-    this.logger.info('stopped', {cut: this.requestHandler.requestsInFlight});
+    this.logCutRequests();
     this.readyServer.stop();
     this.metricsServer?.stop();
     this.catalog.stop();
@@ -323,6 +325,17 @@
     ]);
     this.upstream.close();
   }
+
+  private logCutRequests(): void {
+    const undelivered = this.connections.reportUndelivered();
+    for (const request of undelivered.slice(0, MAX_CUT_LINES)) {
+      this.logger.warn('request cut by the stop', {...request});
+    }
+    this.logger.info('stopped', {
+      cut: this.requestHandler.requestsInFlight,
+      undelivered: undelivered.length,
+    });
+  }
 }
 
 function toHeaderNames(settings: GatewaySettings): HeaderNames {
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -105,10 +105,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const connection = this.options.connections.getOrCreate(request.socket);
-    const openRequest = connection.open(response);
+    const trace = this.startTrace(request);
+    const openRequest = connection.open(trace.requestId, response);
     if (!openRequest) return;
     this.openRequestCount += 1;
-    const trace = this.startTrace(request);
     try {
       const outcome = await this.serve(request, openRequest, trace);
       if (this.stopping) connection.closeAfter(openRequest);
@@ -150,6 +150,7 @@
     const {route, team, table, deadlineAtMs} = admission.value;
     trace.route = route;
     trace.team = team;
+    openRequest.phase = 'body';
     const read = await readRequestBody(
       request,
       table.policy.callerLimits.maxBodyBytes,
@@ -166,8 +167,10 @@
     if (read.kind === 'abandoned') {
       return {kind: 'abandoned', attempts: [], turnedAway: []};
     }
+    openRequest.phase = 'rate-limit';
     const limited = await this.checkRateLimit(team);
     if (limited) return limited;
+    openRequest.phase = 'server';
     const outcome = await this.options.upstream.run({
       service: table.chooseService(route),
       request: this.toUpstreamRequest(request, read.body),
