Test that each request passed on ends in an answer

- A slow and a fast request are pipelined while the instance stops.
The fast one finishes first and marks the connection as closing; the slow one's response then carries `Connection: close`, and the connection ends with the other answer unsent.
Seen: 200; expected: 200, 200.
- The first of two pipelined requests gets no answer from its server.
The second one's answer is ready, but it is not sent before the bound of the stop, at which the process ends.
- A request that a server runs at the bound, or whose body is incomplete then, gets no answer.
- A request in the second half of the stop is passed on.
- A request whose chunked body is malformed ends the connection of the one before it, in a stop or not.
- An exception while a request is handled ends its connection.

--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -34,6 +34,7 @@
   const {request, deadlineAtMs} = options;
   const noAttempts = {attempts: [], turnedAway: []};
   if (request.target.endsWith('slow')) await delay(SLOW_MS);
+  if (request.target.endsWith('broken')) throw new Error('internal fault');
   if (request.target.endsWith('refused')) {
     return {kind: 'not-run', reason: 'no server has room', ...noAttempts};
   }
