Keep a request open until its response was sent completely

What callers saw: of two idempotent requests that were pipelined to an instance while it stopped, the later one was run to its end by its server, and the connection ended after the answer to the earlier one.

Cause: a request counted as finished once its response was written, also when that response had to wait for an earlier one. In a stop, the later request marked the connection as closing; the earlier one was then the last of the open requests, so that its response carried `Connection: close`, and Node.js ended the connection with the other response unsent.

Ruled out: the server (its answer was received whole) and the timing of the stop (the connection ended long before its bound).

Now a request is removed from its connection's list when its response has been sent, so that only the last one closes the connection. The idle check waits for the delivery as well.

Before: the caller of the test got [200]; after: [200, 200], each with its body.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -1,4 +1,10 @@
-/** Tracks the connections of callers and the open requests on each. */
+/**
+ * Tracks the connections of callers and the open requests on each.
+ *
+ * Responses leave a connection in the order of its requests. A request stays open
+ * until its response was sent completely, because one that is ready may wait for
+ * an earlier one.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -40,9 +46,8 @@
 const MAX_DISCARDED_BYTES = 8_388_608;
 
 export class CallerConnection {
-  private readonly openRequests: OpenRequest[] = [];
   /** Requests whose response has not been sent completely, in order. */
-  private readonly undelivered: OpenRequest[] = [];
+  private readonly openRequests: OpenRequest[] = [];
   /** The current response closes the connection, or it is being closed. */
   private closing = false;
   private lastActiveAtMs = performance.now();
@@ -70,16 +75,13 @@
       openedAtMs: performance.now(),
     };
     this.openRequests.push(openRequest);
-    this.undelivered.push(openRequest);
-    response.once('close', () => {
-      this.undelivered.splice(this.undelivered.indexOf(openRequest), 1);
-    });
+    response.once('close', () => this.remove(openRequest));
     return openRequest;
   }
 
   /** Requests whose response has not been sent completely, in order. */
-  reportUndelivered(): OpenRequestReport[] {
-    return this.undelivered.map((openRequest, precedingRequests) => ({
+  reportOpen(): OpenRequestReport[] {
+    return this.openRequests.map((openRequest, precedingRequests) => ({
       requestId: openRequest.requestId,
       phase: currentPhase(openRequest, precedingRequests),
       ageMs: Math.round(performance.now() - openRequest.openedAtMs),
@@ -87,12 +89,6 @@
     }));
   }
 
-  finish(openRequest: OpenRequest): void {
-    const index = this.openRequests.indexOf(openRequest);
-    if (index >= 0) this.openRequests.splice(index, 1);
-    this.lastActiveAtMs = performance.now();
-  }
-
   /** Closes the connection after this response if no other request follows. */
   closeAfter(openRequest: OpenRequest): void {
     if (this.openRequests.at(-1) !== openRequest) return;
@@ -157,6 +153,11 @@
     return () => clearTimeout(timer);
   }
 
+  private remove(openRequest: OpenRequest): void {
+    this.openRequests.splice(this.openRequests.indexOf(openRequest), 1);
+    this.lastActiveAtMs = performance.now();
+  }
+
   private abortOpenRequests(): void {
     for (const openRequest of this.openRequests) openRequest.abandoned.abort();
   }
@@ -193,9 +194,9 @@
   }
 
   /** Requests of all connections whose response has not been sent completely. */
-  reportUndelivered(): OpenRequestReport[] {
+  reportOpen(): OpenRequestReport[] {
     return [...this.connections.values()].flatMap(connection =>
-      connection.reportUndelivered(),
+      connection.reportOpen(),
     );
   }
 
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -327,7 +327,7 @@
   }
 
   private logCutRequests(): void {
-    const undelivered = this.connections.reportUndelivered();
+    const undelivered = this.connections.reportOpen();
     for (const request of undelivered.slice(0, MAX_CUT_LINES)) {
       this.logger.warn('request cut by the stop', {...request});
     }
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -120,7 +120,6 @@
       response.destroy();
     } finally {
       this.openRequestCount -= 1;
-      connection.finish(openRequest);
       // An unread body would block the next request on the connection.
       connection.discardRest(request);
     }
