Answer the requests before a malformed one on their connection

What callers saw: a connection that ended without an answer to a whole request that a server was running, when the next request on the connection had a malformed chunked body.

Cause: with more than one open request, the connection was destroyed at the parse error, because an answer written at once would have been taken for that of the first request.

Now the malformed request gets its 400 through its own response, which Node.js sends after the earlier ones, and the connection closes then. A connection whose last response was already sent is closed at once: the event that was waited for would not come.

Before: no status; after: 200, 400.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -113,9 +113,9 @@
   }
 
   /**
-   * Answers bytes that are no request and closes the connection. While an earlier
-   * request waits for its response, only that is sent, because the caller would
-   * take the answer for it.
+   * Answers bytes that are no request and closes the connection, after the
+   * responses to earlier requests. Bytes behind a complete request get no
+   * answer, because the caller would take it for the answer to that request.
    */
   rejectMalformed(statusLine: string): void {
     const {socket} = this;
@@ -127,13 +127,13 @@
     // The parser would fail again on what follows.
     socket.removeAllListeners('data');
     const last = this.openRequests.at(-1);
+    if (last && this.openRequests.length > 1) {
+      rejectIfIncomplete(last, statusLine);
+    }
     if (last && (last.response.headersSent || last.response.req.complete)) {
       socket.pause();
-      last.response.once('finish', () => socket.destroySoon());
-      return;
-    }
-    if (this.openRequests.length > 1) {
-      socket.destroy();
+      if (last.response.writableFinished) socket.destroySoon();
+      else last.response.once('finish', () => socket.destroySoon());
       return;
     }
     socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
@@ -163,6 +163,14 @@
   }
 }
 
+/** Answers a request whose body cannot be read, after the earlier ones. */
+function rejectIfIncomplete({response}: OpenRequest, statusLine: string): void {
+  if (response.headersSent || response.req.complete) return;
+  response.shouldKeepAlive = false;
+  response.writeHead(Number.parseInt(statusLine, 10), {'content-length': 0});
+  response.end();
+}
+
 function currentPhase(
   {response, phase}: OpenRequest,
   precedingRequests: number,
--- a/packages/gateway/src/lib/send-response.ts
+++ b/packages/gateway/src/lib/send-response.ts
@@ -19,7 +19,7 @@
   response: ServerResponse,
   upstreamResponse: UpstreamResponse,
 ): Promise<boolean> {
-  if (response.destroyed) {
+  if (response.destroyed || response.headersSent) {
     if (upstreamResponse.kind === 'streamed') upstreamResponse.body.destroy();
     return false;
   }
