Answer a request whose handling throws

What callers saw: a connection that ended without an answer when anything threw while a request was handled; requests pipelined behind it, and answers that waited for delivery, were lost with it.

Cause: the handler destroyed the response, and with it the connection.

Now the request is answered 502, which promises nothing, unless its response has begun; then the connection ends as before, so that the part does not look complete. The log line `request failed` stays.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -117,7 +117,7 @@
       const reason = String(error);
       const {requestId} = trace;
       this.options.log.write('error', 'request failed', {requestId, reason});
-      response.destroy();
+      this.respondToFault(openRequest);
     } finally {
       this.openRequestCount -= 1;
       // An unread body would block the next request on the connection.
@@ -125,6 +125,14 @@
     }
   }
 
+  /** Responds after an exception; the request may have run. */
+  private respondToFault({response}: OpenRequest): void {
+    // A response that was begun must not look complete.
+    if (response.headersSent) response.destroy();
+    const reason = 'internal fault';
+    sendRejection(response, {code: 'outcome-unknown', reason});
+  }
+
   private startTrace(request: IncomingMessage): RequestTrace {
     const {requestId} = this.options.headerNames;
     return {
