Do not elect an instance that is about to stop

The zone was without a leader again a moment later, and its callers without grants of rate and retries for the length of two elections in place of one.

Cause: the election ran on unchanged until the end of the stop.

An instance that stops now withdraws its candidacy. A leader that stops leads until its end, since a resignation would only move the gap.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -285,6 +285,7 @@
   private async runStop(): Promise<void> {
     const {connections, requestHandler, callerServer, logger} = this;
     const limitMs = this.settings.promises.stop_within_ms - STOP_MARGIN_MS;
+    this.zone.withdrawCandidacy();
     await GracefulStop.create({
       limitMs,
       connections,
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -68,6 +68,7 @@
   /** When each connection to a leader of another zone was last used. */
   private readonly lastUsedAtMs = new Map<string, number>();
   private holdsLeadership = false;
+  private isCandidate = true;
   private stopped = false;
   private fleetSize = 1;
   /** The leader that last reported that it leads no longer. */
@@ -150,6 +151,11 @@
     this.stopped = true;
   }
 
+  /** From now on, does not become leader; a leader goes on until it stops. */
+  withdrawCandidacy(): void {
+    this.isCandidate = false;
+  }
+
   private async run(): Promise<void> {
     while (!this.stopped) {
       const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
@@ -299,6 +305,10 @@
     const {self, table} = this.options;
     await sleep(Math.random() * CANDIDACY_JITTER_MS);
     if (this.stopped) return;
+    if (!this.isCandidate) {
+      await sleep(TABLE_RETRY_MS);
+      return;
+    }
     const key = leaderKey(self.availabilityZone);
     const ifVersion = findRowVersion(rows, key);
     const write = {kind: 'put' as const, key, ifVersion, value: self};
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -85,6 +85,7 @@
   private failureExchange: FailureExchange | undefined;
   private readonly retries: ZoneRetries;
   private readonly grants: ZoneLimitGrants;
+  private isCandidate = true;
   private stopped = false;
 
   private constructor(private readonly options: ZoneMemberOptions) {
@@ -110,6 +111,15 @@
     });
   }
 
+  /**
+   * Called when the instance is about to stop: it does not become leader any
+   * more, because the zone would soon be without one again.
+   */
+  withdrawCandidacy(): void {
+    this.isCandidate = false;
+    this.election?.withdrawCandidacy();
+  }
+
   /**
    * Leaves the zone; other instances notice the closed connections immediately.
    */
@@ -202,6 +212,7 @@
         for (const follower of this.followers) follower.followLeader(leader);
       },
     });
+    if (!this.isCandidate) election.withdrawCandidacy();
     this.network = network;
     this.election = election;
     this.limiter = ZoneRateLimiter.create({
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -129,6 +129,33 @@
     expect(countLeaders(remaining)).toEqual(1);
   });
 
+  // The zone would be without a leader again a moment later.
+  it('does not elect an instance that is about to stop', async () => {
+    const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+    await clock.tickAsync(5000);
+    const leader = all.find(({election}) => election.isLeader)!;
+    const stopping = all.find(member => member !== leader)!;
+    stopping.election.withdrawCandidacy();
+    leader.election.stop();
+    network.leave(['n1', 'n2'][all.indexOf(leader)]!);
+    await clock.tickAsync(5000);
+    expect(stopping.election.isLeader).toEqual(false);
+    const successor = join('n3', 'nord-a');
+    await clock.tickAsync(5000);
+    expect(successor.election.isLeader).toEqual(true);
+    expect(stopping.election.reachableLeader?.instanceId).toEqual('n3');
+  });
+
+  // The remaining members could not be granted retries or tokens.
+  it('keeps a leader that is about to stop until it has stopped', async () => {
+    const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
+    await clock.tickAsync(5000);
+    const leader = all.find(({election}) => election.isLeader)!;
+    leader.election.withdrawCandidacy();
+    await clock.tickAsync(5000);
+    expect(leader.election.isLeader).toEqual(true);
+  });
+
   it('knows how long the zone had no leader after the leader restarted', async () => {
     join('n1', 'nord-a');
     await clock.tickAsync(5000);
