Discard an unread body only after the response has left

What callers saw: a connection that ended without an answer to a running request, 500 ms after a request behind it was refused before its body had arrived.

Cause: the rest of a refused request is discarded for at most 500 ms or 8 MiB, then the connection ends. The time was counted from the refusal, which may wait for the response to an earlier request.

Now the bounds apply from when the refusal was sent. Until then the bytes are discarded, for at most as long as the earlier requests take.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -105,11 +105,17 @@
   }
 
   /** Discards the rest of a request that was answered before it was read. */
-  discardRest(request: IncomingMessage): void {
+  discardRest(request: IncomingMessage, response: ServerResponse): void {
     if (request.complete || this.socket.destroyed) return;
-    const stop = this.limitDiscarding(request);
-    request.once('close', stop);
     request.resume();
+    const limit = () => {
+      if (!request.complete) {
+        request.once('close', this.limitDiscarding(request));
+      }
+    };
+    // The response may wait for those to earlier requests.
+    if (response.writableFinished) limit();
+    else response.once('finish', limit);
   }
 
   /**
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -136,7 +136,7 @@
     } finally {
       this.openRequests.delete(openRequest);
       // An unread body would block the next request on the connection.
-      connection.discardRest(request);
+      connection.discardRest(request, response);
     }
   }
 
