Refuse requests while a stopped instance closes down

A stop ends early when no connection is open, 2.5 s after its start at the soonest, but the listener was closed only in the middle of the stop. A request that came on a new connection while the rest of the process closed down was passed on and then cut by the exit. Found by reading; the window is some milliseconds, and no test shows it.

--- a/packages/gateway/src/lib/graceful-stop.ts
+++ b/packages/gateway/src/lib/graceful-stop.ts
@@ -63,6 +63,8 @@
       connections.closeIdle(IDLE_CONNECTION_MS);
       if (connections.size === 0) break;
     }
+    // Requests may still come while the rest of the process closes down.
+    this.refuseNew();
     this.logCutRequests();
   }
 
