Close a connection of fireflytrackd after its last response in a stop

The fault of the gateway's stop, found in the daemon's own entry: each response in a planned stop asked for its connection to be closed, also that to the first of several pipelined requests. The others had been passed on, and their answers were lost.

Now the response to the newest request closes the connection, unless an earlier one that does so has begun; a request behind that one is not passed on, and its caller resends it.

The daemon's bound of the stop already answers the requests that are open.

--- a/packages/entry/src/lib/entry-gateway.ts
+++ b/packages/entry/src/lib/entry-gateway.ts
@@ -1,5 +1,6 @@
 /** The HTTP server for callers (moleculer-web). */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {ServiceBroker} from 'moleculer';
 import ApiGateway from 'moleculer-web';
 import type {RequestPath} from './request-path.js';
@@ -14,6 +15,12 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 
+interface NewestResponse {
+  response: ServerResponse;
+  /** Whether the connection is kept after it, but for a stop. */
+  keepsAlive: boolean;
+}
+
 interface GatewayService {
   server: Server;
 }
@@ -21,6 +28,8 @@
 export class EntryGateway {
   private service: GatewayService | undefined;
   private stopping = false;
+  /** The response to the newest request of each connection. */
+  private readonly newestResponses = new WeakMap<Socket, NewestResponse>();
 
   private constructor(private readonly requestPath: RequestPath) {}
 
@@ -61,18 +70,31 @@
   }
 
   /**
-   * Makes every further response close its connection. Idle connections stay
+   * Makes the last response of each connection close it. Idle connections stay
    * open: closing one could abort a request that its caller has just sent.
    */
   beginStop(): void {
     this.stopping = true;
   }
 
-  private handle(
+  private async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    if (this.stopping) response.setHeader('connection', 'close');
-    return this.requestPath.handle(request, response);
+    const {socket} = request;
+    const newest = this.newestResponses.get(socket);
+    const keepsAlive = response.shouldKeepAlive;
+    if (this.stopping) {
+      // The connection closes: callers resend what they pipelined after that.
+      if (newest && closesConnection(newest)) return;
+      if (newest) newest.response.shouldKeepAlive = newest.keepsAlive;
+      response.shouldKeepAlive = false;
+    }
+    this.newestResponses.set(socket, {response, keepsAlive});
+    await this.requestPath.handle(request, response);
   }
 }
+
+function closesConnection({response}: NewestResponse): boolean {
+  return response.headersSent && !response.shouldKeepAlive;
+}
--- a/packages/entry/src/testing/entry-fixture.ts
+++ b/packages/entry/src/testing/entry-fixture.ts
@@ -60,6 +60,7 @@
   url: string;
   port: number;
   withdraw(): void;
+  beginStop(): void;
   close(): Promise<void>;
 }
 
@@ -118,7 +119,8 @@
   const broker = new moleculer.ServiceBroker({logger: false});
   const {server, port} = await rawServer(() => {});
   await new Promise<void>(resolve => server.close(() => resolve()));
-  EntryGateway.create(broker, requestPath, {host: '127.0.0.1', port});
+  const entry = {host: '127.0.0.1', port};
+  const gateway = EntryGateway.create(broker, requestPath, entry);
   await broker.start();
   return {
     url: `http://127.0.0.1:${port}`,
@@ -127,6 +129,7 @@
       withdrawn = true;
       for (const listener of listeners) listener('key');
     },
+    beginStop: () => gateway.beginStop(),
     async close() {
       await forwarder.close();
       await broker.stop();
