--- a/packages/gateway/src/testing/settings-text.ts
+++ b/packages/gateway/src/testing/settings-text.ts
@@ -11,6 +11,7 @@
   policyWaitMs?: number;
   revocationMs?: number;
   policyApplyMs?: number;
+  stopWithinMs?: number;
 }
 
 export function settingsText(overrides: SettingsOverrides): string {
@@ -47,7 +48,7 @@
 [promises]
 revocation_ms = ${overrides.revocationMs ?? 1500}
 policy_apply_ms = ${overrides.policyApplyMs ?? 500}
-stop_within_ms = 4000
+stop_within_ms = ${overrides.stopWithinMs ?? 4000}
 lapse_grace_ms = 500
 repeat_ratio = 0.2
 repeat_allowance = 60
