Read what the caller still sends before a connection is closed

What callers saw: a connection that was reset within the answer to a request that had run, when a later request on it was refused before its body was complete, or any bytes came while the connection was closed.

Cause: Node.js closes the connection as soon as the last response was written. Closing with unread bytes resets it; the system then drops what it has not delivered yet, also earlier responses.

Now the write side is closed first, and what arrives is discarded within the bounds that apply to refused bodies (500 ms, 8 MiB) from the time at which all was sent. It holds for each connection that the gateway closes, idle ones as well.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/gateway/src/lib/caller-connection.ts
@@ -50,11 +50,15 @@
   private readonly openRequests: OpenRequest[] = [];
   /** The current response closes the connection, or it is being closed. */
   private closing = false;
+  /** Nothing more is written to the connection. */
+  private ending = false;
   private lastActiveAtMs = performance.now();
 
   private constructor(private readonly socket: Socket) {
     socket.once('end', () => this.abortOpenRequests());
     socket.once('close', () => this.abortOpenRequests());
+    // Node.js calls it after the response that closes the connection.
+    socket.destroySoon = () => this.end();
   }
 
   static create(socket: Socket): CallerConnection {
@@ -100,8 +104,7 @@
   closeIfIdle(idleMs: number): void {
     if (this.closing || this.openRequests.length > 0) return;
     if (performance.now() - this.lastActiveAtMs < idleMs) return;
-    this.closing = true;
-    this.socket.destroySoon();
+    this.end();
   }
 
   /** Discards the rest of a request that was answered before it was read. */
@@ -125,6 +128,7 @@
    */
   rejectMalformed(statusLine: string): void {
     const {socket} = this;
+    if (this.ending) return;
     if (!socket.writable) {
       socket.destroy();
       return;
@@ -138,13 +142,31 @@
     }
     if (last && (last.response.headersSent || last.response.req.complete)) {
       socket.pause();
-      if (last.response.writableFinished) socket.destroySoon();
-      else last.response.once('finish', () => socket.destroySoon());
+      if (last.response.writableFinished) this.end();
+      else last.response.once('finish', () => this.end());
       return;
     }
-    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
-    socket.once('close', this.limitDiscarding(socket));
+    socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+    this.end();
+  }
+
+  /**
+   * Closes the connection when all that was written has been sent. What the
+   * caller still sends is discarded: closing with unread bytes resets the
+   * connection, and the caller loses what it has not received yet.
+   */
+  private end(): void {
+    const {socket} = this;
+    if (this.ending) return;
+    this.ending = true;
+    this.closing = true;
+    socket.removeAllListeners('data');
     socket.resume();
+    socket.end(() => {
+      if (!socket.destroyed) {
+        socket.once('close', this.limitDiscarding(socket));
+      }
+    });
   }
 
   /** Closes the connection at the bounds; returns a function that ends this. */
