Accept connections until the load balancer has noticed a stop

A regression of the stop that answers all open requests, found in review: with a bound under 5.4 s, its middle comes before the 2.5 s in which the load balancer notices, and connections were refused from then on (from 1.85 s with a bound of 4 s). With the platform's 6 s it did not show. New requests are still refused from the middle on, with an answer.

--- a/packages/gateway/src/lib/graceful-stop.ts
+++ b/packages/gateway/src/lib/graceful-stop.ts
@@ -48,7 +48,8 @@
 
   /** Resolves when no connection is open, or at the time limit. */
   async run(): Promise<void> {
-    const {limitMs, connections, requestHandler, logger} = this.options;
+    const {limitMs, connections, requestHandler, callerServer, logger} =
+      this.options;
     const startedAtMs = performance.now();
     const giveUpAfterMs = limitMs - DELIVERY_MS;
     logger.info('stopping', {inFlight: requestHandler.requestsInFlight});
@@ -57,22 +58,20 @@
       await sleep(CHECK_INTERVAL_MS);
       const elapsedMs = performance.now() - startedAtMs;
       if (elapsedMs >= limitMs) break;
-      if (elapsedMs >= limitMs * REFUSE_NEW_AFTER_SHARE) this.refuseNew();
+      const refuses = elapsedMs >= limitMs * REFUSE_NEW_AFTER_SHARE;
+      if (refuses) requestHandler.refuseNew();
       if (elapsedMs >= giveUpAfterMs) requestHandler.giveUpOpenRequests();
       if (elapsedMs < BALANCER_DETECTION_MS) continue;
+      if (refuses) callerServer.stopAccepting();
       connections.closeIdle(IDLE_CONNECTION_MS);
       if (connections.size === 0) break;
     }
     // Requests may still come while the rest of the process closes down.
-    this.refuseNew();
+    requestHandler.refuseNew();
+    callerServer.stopAccepting();
     this.logCutRequests();
   }
 
-  private refuseNew(): void {
-    this.options.requestHandler.refuseNew();
-    this.options.callerServer.stopAccepting();
-  }
-
   private logCutRequests(): void {
     const {connections, requestHandler, logger} = this.options;
     const open = connections.reportOpen();
