Know in one place which response closes a connection

What callers saw: a request that was passed on behind a CONNECT, behind a request without a host, or behind one whose body was too slow, and a connection that ended without its answer. No stop is needed, and a one-time request ran although its caller was entitled to send it again.

Cause: Node.js destroys the connection of a CONNECT without a listener, and answers a request without a host by itself and closes the connection after that; the 408 of a slow body asked for the close without marking the connection as closing.

All three now go through the connection's record.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -30,6 +30,9 @@
   noDelay: true,
   // Disabled: each request has its own deadline.
   requestTimeout: 0,
+  // Node.js would respond by itself and close the connection after that, while
+  // the next request on it is handled.
+  requireHostHeader: false,
 };
 
 // Responses to bytes that are no request, by the error of Node's parser.
@@ -72,6 +75,12 @@
                 MALFORMED_STATUS_LINES[code] ?? DEFAULT_MALFORMED_STATUS_LINE,
               );
           });
+          // Without a listener, Node.js destroys the connection.
+          this.server.on('connect', (_request, socket) => {
+            options.connections
+              .getOrCreate(socket as Socket)
+              .rejectMalformed(DEFAULT_MALFORMED_STATUS_LINE);
+          });
         },
       },
     });
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -126,6 +126,7 @@
     this.openRequests.set(openRequest, trace);
     try {
       const outcome = await this.serve(request, openRequest, trace);
+      openRequest.phase = 'response';
       if (this.givesUpAtMs !== undefined) connection.closeAfter(openRequest);
       await this.respond(openRequest, outcome, trace);
     } catch (error) {
@@ -181,7 +182,9 @@
     }
     if (read.kind === 'too-slow') {
       // The unread rest of the body would precede the next request.
-      openRequest.response.shouldKeepAlive = false;
+      this.options.connections
+        .getOrCreate(request.socket)
+        .closeAfter(openRequest);
       return {code: 'body-too-slow', reason: 'the body took too long'};
     }
     if (read.kind === 'abandoned') {
@@ -281,6 +284,9 @@
     }
     const url = request.url ?? '';
     if (!url.startsWith('/')) return rejectAs('bad-request', 'no path');
+    if (request.headers.host === undefined) {
+      return rejectAs('bad-request', 'the request has no host');
+    }
     if (request.headers[headerNames.requestId] === undefined) {
       return rejectAs('bad-request', 'the request has no id');
     }
