Answer one-time requests whose caller has ended its side

What callers saw: a caller that half-closes its connection after a one-time request got nothing, although the request was completed.

Cause: Node.js ends a connection at once when its caller ends the other side. Now it stays open until the response has been sent. Idempotent requests are given up at that moment, as before, since an end may mean that the caller has left; their connection is then closed.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -64,6 +64,9 @@
         // run time, which moleculer-web's aliases cannot express.
         createServer(this: GatewayService) {
           this.server = createServer(SERVER_OPTIONS, options.handle);
+          // Otherwise Node.js ends the connection of a caller that has ended
+          // its side, although one-time requests are completed.
+          Object.assign(this.server, {httpAllowHalfOpen: true});
           this.server.on('connection', socket => {
             options.connections.getOrCreate(socket);
           });
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -391,6 +391,8 @@
       return;
     }
     if (outcome.kind === 'abandoned') {
+      // The caller may have ended only its side of the connection.
+      response.destroy();
       this.recordOutcome('caller-left', 'caller left', trace, {});
       return;
     }
