End a streamed response that waits when its caller leaves

Node.js emits no close event for a response that waits for an earlier one, so that the server of a streamed response worked on until the deadline when the caller had left. The abort of the request now ends it as well. A streamed response whose head cannot be written is closed too.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -376,7 +376,11 @@
     trace.turnedAway = outcome.turnedAway;
     if (outcome.kind === 'answered') {
       const {response: upstreamResponse, serverId: server} = outcome;
-      const complete = await sendUpstreamResponse(response, upstreamResponse);
+      const complete = await sendUpstreamResponse(
+        response,
+        upstreamResponse,
+        openRequest.abandoned.signal,
+      );
       const {status} = upstreamResponse;
       const hasNoProblem =
         trace.attempts.length === 1 && status < 500 && complete;
--- a/packages/gateway/src/lib/send-response.ts
+++ b/packages/gateway/src/lib/send-response.ts
@@ -13,11 +13,12 @@
 
 /**
  * Forwards the response of a server unchanged. Returns false if it could not be
- * sent completely.
+ * sent completely; `abandoned` ends a response that is streamed.
  */
 export async function sendUpstreamResponse(
   response: ServerResponse,
   upstreamResponse: UpstreamResponse,
+  abandoned: AbortSignal,
 ): Promise<boolean> {
   if (response.destroyed || response.headersSent) {
     if (upstreamResponse.kind === 'streamed') upstreamResponse.body.destroy();
@@ -32,11 +33,14 @@
     );
     return true;
   }
-  response.writeHead(upstreamResponse.status, upstreamResponse.headers);
   try {
-    await pipeline(upstreamResponse.body, response);
+    response.writeHead(upstreamResponse.status, upstreamResponse.headers);
+    // A response that waits for an earlier one does not close with its connection.
+    await pipeline(upstreamResponse.body, response, {signal: abandoned});
     return true;
-  } catch {
+  } catch (error) {
+    upstreamResponse.body.destroy();
+    if (!response.headersSent) throw error;
     // The caller must not mistake a truncated response for a complete one.
     response.destroy();
     return false;
