Carry each request id at most once on a connection to a server

What callers saw: "not run, try again" for a request that the server ran or was running; with three attempts allowed, a non-idempotent request ran twice.

Cause: only the request id tells which request a response answers. A retry has the id of the request and may go to the same server on the kept connection. A server that writes its first refusal once more there makes it the answer to the retry, which it runs.

Ruled out: bytes that arrive while no request waits.

Change: a connection remembers the ids that it has carried (as 32-bit hashes, at most 500 requests) and is not used for one of them again. A pool at its limit closes an idle connection to make room.

Price: a repeat at the same server opens a new connection if no other is idle, and so does one request in 500. A caller that sends all its requests under one id pays a new connection for each.

The requests of request-run_test now have an id each, as callers' requests have: with one id for all, its case of connections that were not idle would pass without the check of the idle time.

Conclusion: what a connection delivers under a request's id is the answer to the only request that it carried under that id.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -169,7 +169,7 @@
   private dispatch(): void {
     const {request, connection} = this.options;
     const {body} = request;
-    connection.startResponse();
+    connection.startRequest(request.requestId);
     try {
       connection.client.dispatch(
         {
@@ -322,7 +322,8 @@
   private isReusable(): boolean {
     const {connection} = this.headers;
     const closes = String(connection ?? '').toLowerCase() === 'close';
-    return this.hasDelimitedBody() && !closes;
+    const {isSpent} = this.options.connection;
+    return this.hasDelimitedBody() && !closes && !isSpent;
   }
 
   private fail(reason: string, isStaleConnection = false): void {
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -330,7 +330,10 @@
   private sendTo(record: ServerRecord): void {
     const {options, context, remainingMs} = this;
     const {state, headerNames} = context;
-    const connection = record.pool.acquire(this.maxIdleMs(record));
+    const connection = record.pool.acquire(
+      this.maxIdleMs(record),
+      options.request.requestId,
+    );
     if (!connection) return;
     this.tried.add(record);
     this.sentAttempts += 1;
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
+import {CarriedRequests} from './carried-requests.js';
 import {FramingMeter} from './framing-meter.js';
 
 // Connecting to a healthy server in the farthest region takes about 20 ms. A
@@ -32,6 +33,7 @@
   hasEnded = false;
   private socket: Socket | undefined;
   private readonly framing = FramingMeter.create();
+  private readonly carried = CarriedRequests.create();
 
   private constructor(host: string, port: number, onClosed: () => void) {
     this.client = new Client(`http://${host}:${port}`, {
@@ -60,8 +62,18 @@
     return this.socket !== undefined && !this.socket.destroyed;
   }
 
-  /** Starts counting the bytes of the next response. */
-  startResponse(): void {
+  /** Whether it should carry no further request. */
+  get isSpent(): boolean {
+    return this.carried.isFull;
+  }
+
+  hasCarried(requestId: string): boolean {
+    return this.carried.has(requestId);
+  }
+
+  /** Starts a request, and counting the bytes of its response. */
+  startRequest(requestId: string): void {
+    this.carried.add(requestId);
     this.framing.start(this.socket?.bytesRead ?? 0);
   }
 
--- a/packages/upstream/src/lib/server-pool.ts
+++ b/packages/upstream/src/lib/server-pool.ts
@@ -27,17 +27,26 @@
 
   /**
    * Returns the most recently used connection if it has been idle for at most
-   * `maxIdleMs`, or opens a new one; undefined at the limit. The connection
-   * carries one request and is then released or discarded.
+   * `maxIdleMs` and has not carried `requestId`, or opens a new one; undefined at
+   * the limit. The connection carries one request and is then released or
+   * discarded.
    */
-  acquire(maxIdleMs: number): ServerConnection | undefined {
-    while (this.idle.length > 0) {
-      const connection = this.idle.pop()!;
+  acquire(maxIdleMs: number, requestId: string): ServerConnection | undefined {
+    for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.idle[index]!;
       const idleMs = performance.now() - connection.idleSinceMs;
-      if (connection.isOpen && idleMs <= maxIdleMs) return connection;
+      const isUsable = connection.isOpen && idleMs <= maxIdleMs;
+      if (isUsable && connection.hasCarried(requestId)) continue;
+      this.idle.splice(index, 1);
+      if (isUsable) return connection;
       this.discard(connection);
     }
-    if (this.size >= this.options.maxConnections()) return undefined;
+    // Connections that are still idle make room for a new one.
+    while (this.size >= this.options.maxConnections()) {
+      const oldest = this.idle.shift();
+      if (!oldest) return undefined;
+      this.discard(oldest);
+    }
     this.size += 1;
     const {host, port} = this.options;
     const connection = ServerConnection.create(host, port, () => {
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -24,7 +24,13 @@
   let servers: ScriptedServer[];
   let upstream: Upstream;
 
-  afterEach(() => scripted.stop());
+  /** Requests sent in the test; each has an id of its own, as callers' do. */
+  let sent = 0;
+
+  afterEach(() => {
+    scripted.stop();
+    sent = 0;
+  });
 
   async function start(...scripts: Script[]): Promise<void> {
     scripted = await ScriptedUpstream.start(scripts);
@@ -32,13 +38,15 @@
   }
 
   function run(change: Partial<RunOptions> = {}): Promise<UpstreamOutcome> {
+    sent += 1;
+    const requestId = `r${sent}`;
     return upstream.run({
       service: SERVICE,
       request: {
-        requestId: 'r1',
+        requestId,
         method: 'GET',
         target: '/a/b?c=d',
-        headers: ['Host', 'shop.example', 'Request-Id', 'r1'],
+        headers: ['Host', 'shop.example', 'Request-Id', requestId],
         body: {kind: 'none'},
       },
       team: 'north',
