Forget how a connection ended when it is opened again

What callers saw: "unknown" (502) for a non-idempotent request that its server ran and answered in full, if the answer was chunked or had no length.

Cause: the client opens a second socket if the first closes between the choice of the connection and the writing of the request. How the first ended (reset, end) and that it had been used were kept, so a complete answer on the second counted as broken off. The count of framing bytes also started at that of the first socket.

Evidence: refused-twice_test, "in the moment of the next request does not spoil its answer": a server writes a refusal once more just before the next request.

Ruled out: a request that is written to both sockets. The server received it once.

Conclusion: each socket starts with a clean record.

--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -107,7 +107,7 @@
       settle(new Error('connect timeout'));
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
-      this.socket = socket;
+      this.useSocket(socket);
       // Registered before undici's listener, so that what is not read yet has not
       // been parsed either.
       socket.on('readable', () => this.checkFraming(socket));
@@ -126,6 +126,18 @@
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
 
+  /**
+   * The client opens a second socket if the first closes before a request is
+   * written to it.
+   */
+  private useSocket(socket: Socket): void {
+    this.socket = socket;
+    this.isReused = false;
+    this.wasReset = false;
+    this.hasEnded = false;
+    this.framing.start(0);
+  }
+
   private checkFraming(socket: Socket): void {
     const parsedBytes = socket.bytesRead - socket.readableLength;
     if (!this.framing.isExceededAt(parsedBytes)) return;
--- a/packages/upstream/src/test/refused-twice_test.ts
+++ b/packages/upstream/src/test/refused-twice_test.ts
@@ -300,4 +300,30 @@
     expect(await connectionsAfter(500)).toEqual(1);
     expect(await connectionsAfter(501)).toEqual(2);
   });
+
+  // Guards against a connection that is opened in place of one that closed
+  // while a request waited to be written: how the first ended is no sign that
+  // the answer on the second is incomplete.
+  it('in the moment of the next request does not spoil its answer', async () => {
+    let firstSocket: Socket | undefined;
+    await start(request => {
+      const {requestId, socket} = request;
+      firstSocket ??= socket;
+      if (requestId === 'r1') socket.write(REFUSALS['header']!(request));
+      else {
+        runs.push(requestId);
+        const head =
+          `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSignature: good\r\n` +
+          'Transfer-Encoding: chunked\r\n\r\n';
+        socket.write(`${head}5\r\nwhole\r\n0\r\n\r\n`);
+      }
+    });
+    expect((await send('r1', false, 1)).kind).toEqual('not-run');
+    await delay(LATE_MS);
+    const answered = send('r2', false, 1);
+    firstSocket!.write(REFUSALS['header']!(servers[0]!.received[0]!));
+    expect(bodyText(await answered)).toEqual('whole');
+    expect(countRuns('r2')).toEqual(1);
+    expect(servers[0]!.received.length).toEqual(2);
+  });
 });
