Bear a connection that ends while its response waits for the caller

What callers saw: every connection to the instance closed, because its process ended by an uncaught exception. It takes one response over 262,144 bytes without keep-alive (no length, or "Connection: close"), a caller that reads it slowly, and a server that ends or resets the connection meanwhile.

Cause: undici finishes its parser when the connection ends and asserts that the response is not paused. The assertion fails in a listener of the socket, where nothing catches it. Nothing in the source handles uncaught exceptions.

Change: a response that waits is resumed when its connection has ended in order, before undici sees the end; everything has been read by then. A reset is passed to undici under another code, since it takes a reset with the usual code as the possible end of a response. Such a response was refused afterwards already.

Conclusion: how a connection ends while a response waits costs that response only.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -267,14 +267,16 @@
   }
 
   private startStreaming(): void {
+    const {connection} = this.options;
     const stream = BodyStream.create({
       pause: () => {
         this.pausedSinceMs = performance.now();
-        this.controller?.pause();
+        if (this.controller) connection.pauseResponse(this.controller);
       },
       resume: () => {
         this.pausedSinceMs = undefined;
-        this.controller?.resume();
+        // A further request may have the connection.
+        if (!this.released) connection.resumeResponse();
       },
       close: () => this.cancel(),
     });
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -8,7 +8,7 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
-import type {buildConnector} from 'undici';
+import type {Dispatcher, buildConnector} from 'undici';
 import {CarriedRequests} from './carried-requests.js';
 import {FramingMeter} from './framing-meter.js';
 
@@ -21,6 +21,10 @@
 // Subtracted from the announced keep-alive timeout, so that no request is sent
 // while the server closes the connection.
 const IDLE_MARGIN_MS = 1500;
+const RESET_CODE = 'ECONNRESET';
+// undici takes a reset with the usual code as the end of a response without a
+// length, and fails an assertion if that response is paused.
+const REPORTED_RESET_CODE = 'ERR_SERVER_RESET';
 
 export class ServerConnection {
   readonly client: Client;
@@ -34,6 +38,8 @@
   private socket: Socket | undefined;
   private readonly framing = FramingMeter.create();
   private readonly carried = CarriedRequests.create();
+  /** Of the response that waits for its reader. */
+  private paused: Dispatcher.DispatchController | undefined;
 
   private constructor(host: string, port: number, onClosed: () => void) {
     this.client = new Client(`http://${host}:${port}`, {
@@ -74,6 +80,7 @@
   /** Starts a request, and counting the bytes of its response. */
   startRequest(requestId: string): void {
     this.carried.add(requestId);
+    this.paused = undefined;
     this.framing.start(this.socket?.bytesRead ?? 0);
   }
 
@@ -82,6 +89,18 @@
     this.framing.addBody(bytes);
   }
 
+  /** Makes the server wait until `resumeResponse` is called. */
+  pauseResponse(controller: Dispatcher.DispatchController): void {
+    this.paused = controller;
+    controller.pause();
+  }
+
+  resumeResponse(): void {
+    const {paused} = this;
+    this.paused = undefined;
+    paused?.resume();
+  }
+
   close(): void {
     this.client.destroy().catch(() => {
       // The requests on the connection have already been failed.
@@ -113,8 +132,9 @@
       socket.on('readable', () => this.checkFraming(socket));
       settle(null);
     });
-    socket.on('error', error => {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       this.wasReset = true;
+      if (error.code === RESET_CODE) error.code = REPORTED_RESET_CODE;
       settle(error);
     });
     socket.once('end', () => {
@@ -122,6 +142,9 @@
       // Node reports a reset that arrives together with data as an orderly end;
       // the missing remote address reveals it.
       if (socket.remoteAddress === undefined) this.wasReset = true;
+      // undici, whose listener runs later, must not find the response paused. All
+      // of it has been read.
+      this.resumeResponse();
     });
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
