Take a 304 that names the length of its omitted body as complete

What callers saw: 502 in place of a server's 304 with a Content-Length, and a server that was avoided for it. HTTP allows the header there: it is the length of the representation that was not sent.

Cause: undici compares the length with the received bytes for all methods but HEAD, and reports a mismatch.

Evidence: cut-head_test cuts 20 forms of a response after each byte, by an end, a reset at once and a later reset, on a first and on a reused connection: 10,638 responses. Before, 2 of 120 cases failed, both the uncut 304 with a length. All 120 pass with the change.

Ruled out by the same test: a response that ends within its head is never taken as whole, whether it has a length, chunks, no length, "Connection: close", HTTP/1.0, interim responses before it, HEAD, 204 or 304, also with the header that decides the framing cut off. This held before the change. A body without a length is taken as whole when its connection ends in order behind the empty line of the head, and only then: nothing in the protocol tells such an end from a cut.

Price: such a 304 closes its connection.

Conclusion: a success needs the empty line of its head and all of a delimited body; 204 and 304 need the empty line.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -62,6 +62,8 @@
 // A caller that reads nothing for this long delays the response by itself.
 const STALLED_CALLER_MS = 500;
 const MISDIRECTED_REQUEST = 421;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
 export class Attempt implements Dispatcher.DispatchHandler {
@@ -128,8 +130,12 @@
     this.headers = headers;
     this.rawHeaders = Array.from(controller.rawHeaders as Buffer[], String);
     const error = this.findHeadError();
-    if (error !== undefined) this.fail(error);
-    else if (this.limit.kind !== 'absent') this.options.onLimitRead(this.limit);
+    if (error !== undefined) {
+      this.fail(error);
+      return;
+    }
+    if (this.limit.kind !== 'absent') this.options.onLimitRead(this.limit);
+    if (this.hasOmittedBody()) this.finish(false);
   }
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
@@ -144,12 +150,16 @@
   }
 
   onResponseEnd(): void {
+    if (this.released) return;
     if (this.isTruncated()) {
       this.fail('the connection ended within the answer');
       return;
     }
+    this.finish(this.isReusable());
+  }
+
+  private finish(reusable: boolean): void {
     this.reportMissingLimit();
-    const reusable = this.isReusable();
     if (this.stream) {
       this.stream.finish();
       this.release(reusable);
@@ -302,12 +312,28 @@
     );
   }
 
+  private isBodiless(): boolean {
+    return this.status === NO_CONTENT || this.status === NOT_MODIFIED;
+  }
+
+  /**
+   * Whether the head names the length of a body that such a response omits.
+   * undici would wait for that body and then report an error.
+   */
+  private hasOmittedBody(): boolean {
+    const {method} = this.options.request;
+    const length = this.headers['content-length'];
+    if (method === 'HEAD' || length === undefined || length === '0') {
+      return false;
+    }
+    return this.isBodiless();
+  }
+
   private hasDelimitedBody(): boolean {
     const {method} = this.options.request;
-    const bodiless = this.status === 204 || this.status === 304;
     return (
       method === 'HEAD' ||
-      bodiless ||
+      this.isBodiless() ||
       this.headers['content-length'] !== undefined ||
       this.headers['transfer-encoding'] !== undefined
     );
