--- a/packages/entry/src/testing/entry-fixture.ts
+++ b/packages/entry/src/testing/entry-fixture.ts
@@ -61,6 +61,8 @@
   port: number;
   withdraw(): void;
   beginStop(): void;
+  /** Requests that a planned stop waits for. */
+  requestsInFlight(): number;
   close(): Promise<void>;
 }
 
@@ -130,6 +132,7 @@
       for (const listener of listeners) listener('key');
     },
     beginStop: () => gateway.beginStop(),
+    requestsInFlight: () => requestPath.requestsInFlight,
     async close() {
       await forwarder.close();
       await broker.stop();
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -8,7 +8,8 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
-import type {buildConnector} from 'undici';
+import type {Dispatcher, buildConnector} from 'undici';
+import {CarriedRequests} from './carried-requests.js';
 import {FramingMeter} from './framing-meter.js';
 
 // Connecting to a healthy server in the farthest region takes about 20 ms. A
@@ -20,6 +21,10 @@
 // Subtracted from the announced keep-alive timeout, so that no request is sent
 // while the server closes the connection.
 const IDLE_MARGIN_MS = 1500;
+const RESET_CODE = 'ECONNRESET';
+// undici takes a reset with the usual code as the end of a response without a
+// length, and fails an assertion if that response is paused.
+const REPORTED_RESET_CODE = 'ERR_SERVER_RESET';
 
 export class ServerConnection {
   readonly client: Client;
@@ -32,6 +37,9 @@
   hasEnded = false;
   private socket: Socket | undefined;
   private readonly framing = FramingMeter.create();
+  private readonly carried = CarriedRequests.create();
+  /** Of the response that waits for its reader. */
+  private paused: Dispatcher.DispatchController | undefined;
 
   private constructor(host: string, port: number, onClosed: () => void) {
     this.client = new Client(`http://${host}:${port}`, {
@@ -60,8 +68,19 @@
     return this.socket !== undefined && !this.socket.destroyed;
   }
 
-  /** Starts counting the bytes of the next response. */
-  startResponse(): void {
+  /** Whether it should carry no further request. */
+  get isSpent(): boolean {
+    return this.carried.isFull;
+  }
+
+  hasCarried(requestId: string): boolean {
+    return this.carried.has(requestId);
+  }
+
+  /** Starts a request, and counting the bytes of its response. */
+  startRequest(requestId: string): void {
+    this.carried.add(requestId);
+    this.paused = undefined;
     this.framing.start(this.socket?.bytesRead ?? 0);
   }
 
@@ -70,6 +89,18 @@
     this.framing.addBody(bytes);
   }
 
+  /** Makes the server wait until `resumeResponse` is called. */
+  pauseResponse(controller: Dispatcher.DispatchController): void {
+    this.paused = controller;
+    controller.pause();
+  }
+
+  resumeResponse(): void {
+    const {paused} = this;
+    this.paused = undefined;
+    paused?.resume();
+  }
+
   close(): void {
     this.client.destroy().catch(() => {
       // The requests on the connection have already been failed.
@@ -95,14 +126,15 @@
       settle(new Error('connect timeout'));
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
-      this.socket = socket;
+      this.useSocket(socket);
       // Registered before undici's listener, so that what is not read yet has not
       // been parsed either.
       socket.on('readable', () => this.checkFraming(socket));
       settle(null);
     });
-    socket.on('error', error => {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       this.wasReset = true;
+      if (error.code === RESET_CODE) error.code = REPORTED_RESET_CODE;
       settle(error);
     });
     socket.once('end', () => {
@@ -110,10 +142,25 @@
       // Node reports a reset that arrives together with data as an orderly end;
       // the missing remote address reveals it.
       if (socket.remoteAddress === undefined) this.wasReset = true;
+      // undici, whose listener runs later, must not find the response paused. All
+      // of it has been read.
+      this.resumeResponse();
     });
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
 
+  /**
+   * The client opens a second socket if the first closes before a request is
+   * written to it.
+   */
+  private useSocket(socket: Socket): void {
+    this.socket = socket;
+    this.isReused = false;
+    this.wasReset = false;
+    this.hasEnded = false;
+    this.framing.start(0);
+  }
+
   private checkFraming(socket: Socket): void {
     const parsedBytes = socket.bytesRead - socket.readableLength;
     if (!this.framing.isExceededAt(parsedBytes)) return;
