Forward header bytes beyond ASCII as they are

Cause: the bytes were decoded as UTF-8, and Node.js refuses to write characters that are no single byte.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -128,7 +128,9 @@
     if (status < 200) return;
     this.status = status;
     this.headers = headers;
-    this.rawHeaders = Array.from(controller.rawHeaders as Buffer[], String);
+    this.rawHeaders = Array.from(controller.rawHeaders as Buffer[], text =>
+      text.toString('latin1'),
+    );
     const error = this.findHeadError();
     if (error !== undefined) {
       this.fail(error);
