Log whether a server that dropped a connection is down

A connection that is lost while a server runs a request has several causes: the server crashed, it breaks off its answers, or it closed an idle connection. The log could not tell them apart. The line 'connection to server lost' now says after how long it was lost and whether the server still accepts connections.

--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -35,6 +35,8 @@
        * may be the stale connection rather than the server.
        */
       isStaleConnection: boolean;
+      /** The server's side ended the connection. */
+      isConnectionLost: boolean;
     };
 
 export interface AttemptOptions {
@@ -327,13 +329,15 @@
 
   private fail(reason: string, isStaleConnection = false): void {
     const {stream} = this;
+    const {wasReset, hasEnded} = this.options.connection;
+    const isConnectionLost = !this.cancelled && (wasReset || hasEnded);
     const isServersFault = !this.cancelled && !this.hasStalledCaller();
     if (stream && !this.released && isServersFault) {
       this.options.onStreamFailed(reason);
     }
     this.settle(
       this.started
-        ? {kind: 'failed', reason, isStaleConnection}
+        ? {kind: 'failed', reason, isStaleConnection, isConnectionLost}
         : {kind: 'not-sent', reason},
     );
     this.release(false);
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -8,6 +8,7 @@
 import {NOT_RUN_STATUSES, isProcessedStatus} from './http-conventions.js';
 import {Attempt} from './attempt.js';
 import type {AttemptResult} from './attempt.js';
+import type {CrashCheck} from './crash-check.js';
 import type {KnownLimits} from './known-limits.js';
 import type {LimitGrants} from './limit-grants.js';
 import type {LimitReading} from './server-limit.js';
@@ -41,6 +42,7 @@
   limits: KnownLimits;
   grants: LimitGrants;
   chooser: ServerChooser;
+  crashCheck: CrashCheck;
   logger: Logger;
 }
 
@@ -178,11 +180,26 @@
           result.isStaleConnection ? 'stale-connection' : 'fault',
           result.reason,
         );
+        if (result.isConnectionLost) void this.logLostServer(running);
         if (this.options.isIdempotent) this.requestRetry('failure');
         return undefined;
     }
   }
 
+  /** Logs whether a server that ended the connection has gone down. */
+  private async logLostServer({
+    record,
+    startedAtMs,
+  }: RunningAttempt): Promise<void> {
+    const {crashCheck, logger} = this.context;
+    const {serverId: server, service} = record.run;
+    const afterMs = Math.round(performance.now() - startedAtMs);
+    const isDown = await crashCheck.isDown(record.server.report);
+    const {requestId} = this.options.request;
+    const fields = {requestId, server, service, afterMs, isDown};
+    logger.info('connection to server lost', fields);
+  }
+
   private onResponse(
     running: RunningAttempt,
     response: UpstreamResponse,
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -4,6 +4,7 @@
  */
 import type {CatalogServer} from '@fireflytrack/discovery';
 import type {Logger} from '@fireflytrack/telemetry';
+import {ConnectCheck} from './crash-check.js';
 import type {HeaderNames} from './http-conventions.js';
 import type {KnownLimits} from './known-limits.js';
 import type {LimitGrants} from './limit-grants.js';
@@ -52,6 +53,7 @@
   private readonly records = new Map<CatalogServer, ServerRecord>();
   private readonly picker: ServerPicker;
   private readonly choosers = new Map<string, ServerChooser>();
+  private readonly crashCheck = ConnectCheck.create();
 
   private constructor(private readonly options: UpstreamOptions) {
     this.picker = ServerPicker.create(options.location, options.regionOf);
@@ -90,8 +92,15 @@
     state.budget.recordRequest();
     const {headerNames, limits, grants, logger} = this.options;
     const chooser = this.getOrCreateChooser(options.service);
-    const context = {state, chooser, headerNames, limits, grants, logger};
-    return RequestRun.create(options, context).run();
+    return RequestRun.create(options, {
+      state,
+      chooser,
+      headerNames,
+      limits,
+      grants,
+      crashCheck: this.crashCheck,
+      logger,
+    }).run();
   }
 
   hasServers(service: string): boolean {
