--- a/packages/proofs/src/lib/limit-fleet.ts
+++ b/packages/proofs/src/lib/limit-fleet.ts
@@ -14,13 +14,14 @@
 import type {Choice} from '@fireflytrack/upstream/selection';
 import {MemoryNetwork} from '@fireflytrack/wire';
 import {ZoneLimitGrants} from '@fireflytrack/zone';
-import type {Leader, LimitElection} from '@fireflytrack/zone';
-import {catalogEntryOf, leaderRowOf} from './fleet-fixtures.js';
+import {catalogEntryOf} from './fleet-fixtures.js';
 import {exponentialMs, seededRandom} from './health-random.js';
 import type {Random} from './health-random.js';
 import {LimitServer} from './limit-server.js';
 import {LoneGrants} from './limit-naive.js';
 import type {LimitPhase} from './limit-server.js';
+import {ZoneFleet} from './zone-fleet.js';
+import type {ZoneInstance, ZoneProcess} from './zone-fleet.js';
 
 export type LimitVariant =
   | 'granted'
@@ -55,23 +56,13 @@
   retryAfterMs: number | undefined;
 }
 
-export interface LimitInstance {
-  readonly instanceId: string;
-  readonly availabilityZone: string;
-  readonly region: string;
-  /** Undefined while the process is down. */
-  process: LimitProcess | undefined;
-  suspended: boolean;
-  cutOff: boolean;
-}
+export type LimitInstance = ZoneInstance<LimitProcess>;
 
-interface LimitProcess {
+interface LimitProcess extends ZoneProcess {
   limits: KnownLimits;
-  grants: LimitGrants & {followLeader?(leader: Leader): void};
+  grants: LimitGrants;
   chooser: ServerChooser;
   records: ServerRecord[];
-  /** Whether it takes itself for the leader of its zone. */
-  leads: boolean;
 }
 
 const SERVICE = 'orders';
@@ -80,22 +71,13 @@
 const SAME_REGION_DELAY_MS = 1;
 const OTHER_REGION_DELAY_MS = 8;
 const CONNECTIONS_PER_SERVER = 100;
-const DETECTION_MIN_MS = 300;
-const DETECTION_SPREAD_MS = 700;
-/** Connections to an instance that is suspended or cut off end after this. */
-const SILENT_DETECTION_MS = 3000;
-/** Leaders read their rows at this interval. */
-const ROW_POLL_MS = 2000;
 
 export class LimitFleet {
   readonly servers: LimitServer[];
-  readonly instances: LimitInstance[] = [];
+  readonly zones: ZoneFleet<LimitProcess>;
   readonly requests: LimitRequest[] = [];
   readonly network: MemoryNetwork;
   private readonly random: Random;
-  private readonly regionByZone = new Map<string, string>();
-  /** The leader of each zone by the shared table. */
-  private readonly leaderRows = new Map<string, LimitInstance>();
 
   private constructor(private readonly options: LimitFleetOptions) {
     this.random = seededRandom(options.seed);
@@ -106,6 +88,17 @@
           : OTHER_REGION_DELAY_MS,
     });
     const zones = Object.values(options.zonesByRegion).flat();
+    this.zones = ZoneFleet.create<LimitProcess>({
+      zonesByRegion: options.zonesByRegion,
+      instancesPerZone: options.instancesPerZone,
+      network: this.network,
+      random: this.random,
+      startProcess: instance => this.createProcess(instance),
+      onJoined: ({process}, network, election) => {
+        const grants = process?.grants;
+        if (grants instanceof ZoneLimitGrants) grants.join({network, election});
+      },
+    });
     const {rejectedShare} = options;
     this.servers = options.servers.map((phases, index) =>
       LimitServer.create(
@@ -120,77 +113,13 @@
   /** Starts all instances and their callers. */
   static create(options: LimitFleetOptions): LimitFleet {
     const fleet = new LimitFleet(options);
-    for (const [region, zones] of Object.entries(options.zonesByRegion)) {
-      for (const zone of zones) fleet.addZone(zone, region);
-    }
-    for (const instance of fleet.instances) fleet.startProcess(instance);
+    fleet.zones.start();
     for (const demand of options.demands) fleet.scheduleRequest(demand);
     return fleet;
   }
 
-  leaderOf(zone: string): LimitInstance | undefined {
-    return this.leaderRows.get(zone);
-  }
-
-  /** Ends the process; a new one, which knows nothing, starts after `downMs`. */
-  restart(instance: LimitInstance, downMs: number): void {
-    if (!instance.process) return;
-    instance.process = undefined;
-    this.network.leave(instance.instanceId);
-    this.replaceLeader(instance, this.drawDetectionMs());
-    setTimeout(() => this.startProcess(instance), downMs);
-  }
-
-  /** Suspends the process; what it receives meanwhile is handled afterwards. */
-  suspend(instance: LimitInstance, forMs: number): void {
-    instance.suspended = true;
-    this.network.suspend(instance.instanceId);
-    this.replaceLeader(instance, SILENT_DETECTION_MS);
-    setTimeout(() => {
-      instance.suspended = false;
-      this.network.resume(instance.instanceId);
-      this.readRowsLater(instance);
-    }, forMs);
-  }
-
-  /** Cuts the instance off from all others; its servers stay reachable. */
-  cutOff(instance: LimitInstance, forMs: number): void {
-    instance.cutOff = true;
-    const {instanceId} = instance;
-    const others = this.instances.filter(other => other !== instance);
-    for (const other of others) {
-      this.network.cut(instanceId, other.instanceId);
-      this.network.cut(other.instanceId, instanceId);
-    }
-    this.replaceLeader(instance, SILENT_DETECTION_MS);
-    setTimeout(() => {
-      instance.cutOff = false;
-      for (const other of others) {
-        this.network.heal(instanceId, other.instanceId);
-        this.network.heal(other.instanceId, instanceId);
-      }
-      this.readRowsLater(instance);
-    }, forMs);
-  }
-
-  private addZone(zone: string, region: string): void {
-    this.regionByZone.set(zone, region);
-    for (let index = 0; index < this.options.instancesPerZone; index += 1) {
-      const instance: LimitInstance = {
-        instanceId: `${zone}-i${index}`,
-        availabilityZone: zone,
-        region,
-        process: undefined,
-        suspended: false,
-        cutOff: false,
-      };
-      this.instances.push(instance);
-      if (index === 0) this.leaderRows.set(zone, instance);
-    }
-  }
-
-  private startProcess(instance: LimitInstance): void {
-    const {availabilityZone, region, instanceId} = instance;
+  private createProcess(instance: LimitInstance): LimitProcess {
+    const {availabilityZone, region} = instance;
     const logger = createLogger({level: 'error', silent: true});
     const limits = KnownLimits.create(logger);
     const grants =
@@ -198,14 +127,15 @@
         ? new LoneGrants()
         : ZoneLimitGrants.create({
             limits,
-            instances: () => this.instances.length,
+            instances: () => this.zones.instances.length,
           });
     const picker = ServerPicker.create(
       {availabilityZone, region},
-      zone => this.regionByZone.get(zone),
+      zone => this.zones.regionByZone.get(zone),
       this.random,
     );
-    const process: LimitProcess = {
+    const follower = grants instanceof ZoneLimitGrants ? grants : undefined;
+    return {
       limits,
       grants,
       chooser: ServerChooser.create({service: SERVICE, picker, limits, grants}),
@@ -216,108 +146,17 @@
           this.random,
         ),
       ),
-      leads: this.leaderRows.get(availabilityZone) === instance,
-    };
-    instance.process = process;
-    const peers = this.network.join({instanceId, availabilityZone, region});
-    if (!(grants instanceof ZoneLimitGrants)) return;
-    grants.join({network: peers, election: this.electionOf(instance)});
-    if (process.leads) grants.becomeLeader();
-    else this.followLeader(instance);
-  }
-
-  private electionOf(instance: LimitInstance): LimitElection {
-    const {availabilityZone} = instance;
-    const findOwn = () => this.leaderRows.get(availabilityZone);
-    const reachesLeader = (leader: LimitInstance) => this.isConnected(leader);
-    const otherLeaders = () => [...this.leaderRows.values()];
-    const isConnected = (leader: Leader) =>
-      reachesLeader(this.findInstance(leader.instanceId));
-    return {
-      get isLeader(): boolean {
-        return instance.process?.leads ?? false;
-      },
-      get reachableLeader(): Leader | undefined {
-        const leader = findOwn();
-        const isOther = leader && leader !== instance;
-        return isOther && reachesLeader(leader)
-          ? leaderRowOf(leader)
-          : undefined;
-      },
-      get otherLeaders(): Leader[] {
-        return otherLeaders()
-          .filter(leader => leader.availabilityZone !== availabilityZone)
-          .map(leaderRowOf);
-      },
-      connect: async leader => isConnected(leader),
+      becomeLeader: () => follower?.becomeLeader(),
+      followLeader: leader => follower?.followLeader(leader),
     };
   }
 
-  /** A silent instance keeps its connections, while a dead one loses them. */
-  private isConnected(leader: LimitInstance): boolean {
-    return leader.process !== undefined;
-  }
-
-  private findInstance(instanceId: string): LimitInstance {
-    return this.instances.find(item => item.instanceId === instanceId)!;
-  }
-
-  /** Elects another leader if the instance is still gone after `detectedMs`. */
-  private replaceLeader(instance: LimitInstance, detectedMs: number): void {
-    const {availabilityZone} = instance;
-    setTimeout(() => {
-      if (this.leaderRows.get(availabilityZone) !== instance) return;
-      const isBack =
-        instance.process?.leads && !instance.suspended && !instance.cutOff;
-      if (isBack) return;
-      const candidates = this.instances.filter(
-        other =>
-          other.availabilityZone === availabilityZone &&
-          other !== instance &&
-          other.process &&
-          !other.suspended &&
-          !other.cutOff,
-      );
-      const successor =
-        candidates[Math.floor(this.random() * candidates.length)];
-      if (!successor) return;
-      this.leaderRows.set(availabilityZone, successor);
-      const {grants} = successor.process!;
-      successor.process!.leads = true;
-      if (grants instanceof ZoneLimitGrants) grants.becomeLeader();
-      for (const member of candidates) {
-        if (member !== successor) this.followLeader(member);
-      }
-    }, detectedMs);
-  }
-
-  /** A former leader notices at its next read of the row that it was replaced. */
-  private readRowsLater(instance: LimitInstance): void {
-    setTimeout(() => {
-      const {process} = instance;
-      if (!process) return;
-      const leader = this.leaderRows.get(instance.availabilityZone);
-      if (leader === instance) return;
-      process.leads = false;
-      this.followLeader(instance);
-    }, this.random() * ROW_POLL_MS);
-  }
-
-  private followLeader(instance: LimitInstance): void {
-    const leader = this.leaderRows.get(instance.availabilityZone);
-    if (!leader || leader === instance) return;
-    instance.process?.grants.followLeader?.(leaderRowOf(leader));
-  }
-
-  private drawDetectionMs(): number {
-    return DETECTION_MIN_MS + this.random() * DETECTION_SPREAD_MS;
-  }
-
   private scheduleRequest(demand: LimitDemand): void {
     setTimeout(
       () => {
-        const index = Math.floor(this.random() * this.instances.length);
-        void this.send(this.instances[index]!, demand);
+        const {instances} = this.zones;
+        const index = Math.floor(this.random() * instances.length);
+        void this.send(instances[index]!, demand);
         this.scheduleRequest(demand);
       },
       exponentialMs(this.random, demand.requestsPerSecond),
@@ -360,7 +199,7 @@
     const server = this.servers.find(
       ({serverId}) => serverId === record.serverId,
     )!;
-    const region = this.regionByZone.get(server.availabilityZone);
+    const region = this.zones.regionByZone.get(server.availabilityZone);
     const delayMs =
       region === instance.region ? SAME_REGION_DELAY_MS : OTHER_REGION_DELAY_MS;
     const sentAtMs = performance.now();
--- a/packages/proofs/src/lib/limit-runs.ts
+++ b/packages/proofs/src/lib/limit-runs.ts
@@ -8,18 +8,12 @@
  * half a second to learn of a limit.
  */
 import {FakeTime} from './fake-time.js';
-import {seededRandom} from './health-random.js';
 import {LimitFleet} from './limit-fleet.js';
 import type {LimitDemand, LimitVariant} from './limit-fleet.js';
 import {findLimit} from './limit-server.js';
 import type {LimitPhase, LimitServer} from './limit-server.js';
-
-export type LimitFault =
-  | 'restart-leaders'
-  | 'suspend-leaders'
-  | 'cut-off-leaders'
-  | 'restart-instances'
-  | 'suspend-instances';
+import {scheduleZoneFaults} from './zone-faults.js';
+import type {ZoneFault} from './zone-faults.js';
 
 export interface LimitScenario {
   /** Limits that the first servers name, relative to the start of the run. */
@@ -27,7 +21,7 @@
   /** Servers that never name a limit. */
   unlimitedServers: number;
   demands: readonly LimitDemand[];
-  faults: readonly LimitFault[];
+  faults: readonly ZoneFault[];
   variant?: LimitVariant;
 }
 
@@ -51,12 +45,6 @@
 const RATE_TOLERANCE = 1.5;
 const SLACK_REQUESTS = 5;
 const LEARN_MS = 500;
-const FAULTS_FROM_MS = 4000;
-const FAULTS_WITHIN_MS = 14_000;
-const MIN_FAULT_MS = 500;
-const MAX_FAULT_MS = 5000;
-const FAULT_COUNT = 6;
-const RESTART_DOWN_MS = 600;
 
 export const ORDINARY_DEMAND: LimitDemand = {
   team: 'north',
@@ -88,7 +76,7 @@
       demands: scenario.demands,
       rejectedShare: REJECTED_SHARE,
     });
-    scheduleFaults(fleet, scenario.faults, seed);
+    scheduleZoneFaults(fleet.zones, scenario.faults, seed);
     await time.advance(RUN_MS);
     return createReport(fleet, performance.now());
   } finally {
@@ -106,37 +94,6 @@
   throw new Error(`seed ${seed}: ${violations.join('; ')}`);
 }
 
-function scheduleFaults(
-  fleet: LimitFleet,
-  faults: readonly LimitFault[],
-  seed: number,
-): void {
-  const random = seededRandom(seed + 1);
-  const zones = Object.values(ZONES_BY_REGION).flat();
-  for (const fault of faults) {
-    for (let count = 0; count < FAULT_COUNT; count += 1) {
-      const atMs = FAULTS_FROM_MS + random() * FAULTS_WITHIN_MS;
-      const forMs = MIN_FAULT_MS + random() * (MAX_FAULT_MS - MIN_FAULT_MS);
-      const zone = zones[Math.floor(random() * zones.length)]!;
-      const index = Math.floor(random() * fleet.instances.length);
-      setTimeout(() => {
-        const hitsLeader = fault.endsWith('leaders');
-        const instance = hitsLeader
-          ? fleet.leaderOf(zone)!
-          : fleet.instances[index]!;
-        if (instance.suspended || instance.cutOff) return;
-        if (fault.startsWith('restart')) {
-          fleet.restart(instance, RESTART_DOWN_MS);
-        } else if (fault.startsWith('suspend')) {
-          fleet.suspend(instance, forMs);
-        } else {
-          fleet.cutOff(instance, forMs);
-        }
-      }, atMs);
-    }
-  }
-}
-
 function createReport(fleet: LimitFleet, endMs: number): LimitReport {
   const limited = fleet.servers.filter(({phases}) => phases.length > 0);
   let arrivals = 0;
