Hold back requests under which backend servers keep going down

Cause: nothing in the fleet remembered which request a server had ended with. The class is a decision about one request that rests on what a single attempt saw.

A connection that the server's side ended while the server no longer accepts connections counts as a crash of that run. Crashes are kept by a digest of service, team, method, host, target and body, merged by union over all instances, and cleared by any complete response to the same request. From the third run on the request is refused as not run, with a Retry-After of minutes; one trial is made at the end of the hold, in the whole fleet. Before that, a request that lost a server is sent to one more at most, and to none if it had a crash on record. Nothing is computed and nothing is sent while no server crashes.

--- a/packages/cli/src/lib/explain-command.ts
+++ b/packages/cli/src/lib/explain-command.ts
@@ -26,7 +26,8 @@
   lines: LogLine[];
   /**
    * Lines of the same instances about servers that the request used or was turned
-   * away from, from the 10 s before its last line.
+   * away from, from the 10 s before its last line, and all earlier lines about
+   * requests of the same fingerprint.
    */
   context: LogLine[];
   /** Number of input lines that are not log lines. */
@@ -77,7 +78,7 @@
       const line = parseLine(text);
       if (!line) unreadable += 1;
       else if (line['requestId'] === requestId) lines.push(line);
-      else if (typeof line['server'] === 'string') serverLines.push(line);
+      else if (isAboutServerOrSuspect(line)) serverLines.push(line);
     }
   }
   lines.sort(compareByTime);
@@ -117,14 +118,28 @@
     ]),
   );
   const instances = new Set(lines.map(line => line.instance));
+  const fingerprints = new Set(
+    lines
+      .map(line => line['fingerprint'])
+      .filter(value => typeof value === 'string'),
+  );
   const lastMs = Math.max(...lines.map(parseTimestampMs));
   return candidates.filter(line => {
     const ageMs = lastMs - parseTimestampMs(line);
-    const near = ageMs >= 0 && ageMs <= CONTEXT_BEFORE_MS;
-    return near && servers.has(line['server']) && instances.has(line.instance);
+    if (ageMs < 0 || !instances.has(line.instance)) return false;
+    if (fingerprints.has(String(line['fingerprint']))) return true;
+    return ageMs <= CONTEXT_BEFORE_MS && servers.has(line['server']);
   });
 }
 
+/** Whether the line may belong to the context of a request. */
+function isAboutServerOrSuspect(line: LogLine): boolean {
+  if (line['requestId'] !== undefined) return false;
+  return [line['server'], line['fingerprint']].some(
+    value => typeof value === 'string',
+  );
+}
+
 function toArray(value: unknown): unknown[] {
   return Array.isArray(value) ? value : [];
 }
--- a/packages/cli/src/test/explain_test.ts
+++ b/packages/cli/src/test/explain_test.ts
@@ -76,6 +76,29 @@
     expect(unreadable).toEqual(1);
   });
 
+  // Guards against refusals of held requests that nobody can explain.
+  it('adds what the instance had logged about requests like it', async () => {
+    const file = join(folder, 'held.log');
+    const fingerprint = 'f1';
+    const lines = [
+      logLine(1, 'i1', {message: 'request held back', fingerprint}),
+      logLine(2, 'i1', {message: 'request held back', fingerprint: 'f2'}),
+      logLine(30, 'i1', {
+        message: 'rejected not-run',
+        requestId: 'r1',
+        fingerprint,
+      }),
+      logLine(31, 'i1', {
+        message: 'rejected not-run',
+        requestId: 'r3',
+        fingerprint,
+      }),
+    ];
+    writeFileSync(file, lines.join('\n'));
+    const {context} = await explain('r1', [file]);
+    expect(context.map(entry => entry['fingerprint'])).toEqual(['f1']);
+  });
+
   function runExplain(
     ...parameters: string[]
   ): Promise<[number, string, string]> {
--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -15,6 +15,8 @@
   serversReadmitted(): number;
   serversLimited(): number;
   turnedAway(): number;
+  requestSuspects(): {suspected: number; held: number};
+  heldBack(): number;
   isZoneLeader(): boolean;
 }
 
@@ -67,6 +69,16 @@
         'Backend servers that named a limit of requests per second.',
         readers.serversLimited,
       ],
+      [
+        'requests_suspected',
+        'Different requests under which backend servers went down.',
+        () => readers.requestSuspects().suspected,
+      ],
+      [
+        'requests_held',
+        'Different requests that are held back.',
+        () => readers.requestSuspects().held,
+      ],
       [
         'leads_zone',
         'Whether this instance leads its zone.',
@@ -112,6 +124,11 @@
         'Choices of backend servers that were not made because of a limit.',
         readers.turnedAway,
       ],
+      [
+        'held_back_total',
+        'Attempts not made because the request may crash its server.',
+        readers.heldBack,
+      ],
     ];
     for (const [name, help, read] of counters) {
       new Counter({
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -7,9 +7,14 @@
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {RateLimitedLog, StateDump} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
-import {KnownLimits, Upstream} from '@fireflytrack/upstream';
+import {CrashSuspects, KnownLimits, Upstream} from '@fireflytrack/upstream';
 import type {HeaderNames} from '@fireflytrack/upstream';
-import {FeedRelay, RelayedFeed, ZoneMember} from '@fireflytrack/zone';
+import {
+  CrashExchange,
+  FeedRelay,
+  RelayedFeed,
+  ZoneMember,
+} from '@fireflytrack/zone';
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
@@ -113,6 +118,9 @@
     );
     const headerNames = toHeaderNames(settings);
     this.limits = KnownLimits.create(logger);
+    const {hold_after: holdAfter, hold_ms: holdMs} = settings.crashes;
+    const suspects = CrashSuspects.create({holdAfter, holdMs, logger});
+    const crashExchange = CrashExchange.create(suspects);
     this.upstream = Upstream.create({
       location: {
         availabilityZone: instance.availability_zone,
@@ -131,6 +139,8 @@
         announce: (server, limit) =>
           this.zone.limitGrants.announce(server, limit),
       },
+      suspects,
+      requestTrial: digest => crashExchange.requestTrial(digest),
       onFailure: failure => this.zone.reportFailure(failure),
       logger,
     });
@@ -189,7 +199,7 @@
         {feed: policyFeed, relay: this.policies.relay},
         {feed: serverFeed, relay: serverRelay},
       ],
-      followers: [this.policies.exchange],
+      followers: [this.policies.exchange, crashExchange],
       onServerFailure: ({serverId, service}) =>
         this.upstream.recordReportedFailure(serverId, service),
       logger,
@@ -203,6 +213,8 @@
       serversReadmitted: () => this.upstream.readmissions,
       serversLimited: () => this.limits.size,
       turnedAway: () => this.upstream.turnedAway,
+      requestSuspects: () => suspects.count(),
+      heldBack: () => this.upstream.heldBack,
       isZoneLeader: () => this.zone.isLeader,
     });
     this.requestHandler = RequestHandler.create({
@@ -232,6 +244,7 @@
     this.metricsServer = createMetricsServer(settings, metrics);
     this.dump.register('servers', () => this.upstream.dumpState());
     this.dump.register('server limits', () => this.limits.list());
+    this.dump.register('suspected requests', () => suspects.dumpState());
     this.dump.register('zone', () => this.zone.state());
     this.dump.register('policy', () => ({
       version: this.policies.current()?.version,
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -91,6 +91,15 @@
     rate_overrun: z.coerce.number().nonnegative(),
     rate_slack: z.coerce.number().nonnegative(),
   }),
+  /** Requests under which backend servers go down. */
+  crashes: z
+    .strictObject({
+      /** Crashes of servers from which a request is held back. */
+      hold_after: count.default(3),
+      /** Time until a held request is tried once; doubled after each trial. */
+      hold_ms: durationMs.default(300_000),
+    })
+    .prefault({}),
   metrics: z
     .strictObject({
       /** Metrics are served only if this is set. */
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -58,6 +58,8 @@
   attempts: AttemptReport[];
   /** Servers that were not used because they are at their limits. */
   turnedAway: string[];
+  /** Digest of a request that was suspected of crashing servers. */
+  fingerprint?: string | undefined;
 }
 
 type Admission =
@@ -169,6 +171,7 @@
     const limited = await this.checkRateLimit(team);
     if (limited) return limited;
     const outcome = await this.options.upstream.run({
+      route: route.name,
       service: table.chooseService(route),
       request: this.toUpstreamRequest(request, read.body),
       team: team?.name,
@@ -319,6 +322,7 @@
     }
     trace.attempts = outcome.attempts;
     trace.turnedAway = outcome.turnedAway;
+    trace.fingerprint = outcome.fingerprint;
     if (outcome.kind === 'answered') {
       const {response: upstreamResponse, serverId: server} = outcome;
       const complete = await sendUpstreamResponse(response, upstreamResponse);
@@ -365,6 +369,7 @@
       tried: attempts.map(attempt => attempt.server),
       attempts,
       turnedAway: turnedAway.length > 0 ? turnedAway : undefined,
+      fingerprint: trace.fingerprint,
       policyVersion: policies.current()?.version,
       policyAgeMs: Math.round(policies.lease.ageMs()),
     });
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -101,6 +101,8 @@
       serversReadmitted: () => 0,
       serversLimited: () => 0,
       turnedAway: () => 0,
+      requestSuspects: () => ({suspected: 0, held: 0}),
+      heldBack: () => 0,
       isZoneLeader: () => false,
     }),
     log: RateLimitedLog.create({logger, linesPerSecond: 5}),
--- a/packages/gateway/src/testing/settings-text.ts
+++ b/packages/gateway/src/testing/settings-text.ts
@@ -11,6 +11,7 @@
   policyWaitMs?: number;
   revocationMs?: number;
   policyApplyMs?: number;
+  crashHoldMs?: number;
 }
 
 export function settingsText(overrides: SettingsOverrides): string {
@@ -55,6 +56,9 @@
 floor_share = 0.7
 rate_overrun = 0.1
 rate_slack = 20
+[crashes]
+hold_after = 3
+hold_ms = ${overrides.crashHoldMs ?? 300_000}
 [log]
 level = ${overrides.level ?? 'info'}
 `;
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -3,6 +3,12 @@
 export {endToEndHeaders} from './lib/connection-headers.js';
 export type {AttemptReport, UpstreamOutcome} from './lib/upstream-outcome.js';
 export type {RunOptions} from './lib/request-run.js';
+export {CrashSuspects, suspicionSchema} from './lib/crash-suspects.js';
+export type {
+  CrashSuspectsOptions,
+  SuspectView,
+  Suspicion,
+} from './lib/crash-suspects.js';
 export {KnownLimits} from './lib/known-limits.js';
 export type {KnownLimit, ServerRun} from './lib/known-limits.js';
 export type {
--- a/packages/upstream/src/lib/attempt.ts
+++ b/packages/upstream/src/lib/attempt.ts
@@ -53,7 +53,7 @@
    */
   onLimitRead(reading: LimitReading): void;
   /** Called when a response failed after a part of it was handed on. */
-  onStreamFailed(reason: string): void;
+  onStreamFailed(reason: string, isConnectionLost: boolean): void;
   /** Called once when the connection is no longer in use. */
   onReleased(reusable: boolean): void;
 }
@@ -333,7 +333,7 @@
     const isConnectionLost = !this.cancelled && (wasReset || hasEnded);
     const isServersFault = !this.cancelled && !this.hasStalledCaller();
     if (stream && !this.released && isServersFault) {
-      this.options.onStreamFailed(reason);
+      this.options.onStreamFailed(reason, isConnectionLost);
     }
     this.settle(
       this.started
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -8,7 +8,8 @@
 import {NOT_RUN_STATUSES, isProcessedStatus} from './http-conventions.js';
 import {Attempt} from './attempt.js';
 import type {AttemptResult} from './attempt.js';
-import type {CrashCheck} from './crash-check.js';
+import {CrashGuard} from './crash-guard.js';
+import type {CrashGuardContext} from './crash-guard.js';
 import type {KnownLimits} from './known-limits.js';
 import type {LimitGrants} from './limit-grants.js';
 import type {LimitReading} from './server-limit.js';
@@ -16,10 +17,16 @@
 import type {Choice, ServerChooser} from './server-chooser.js';
 import type {ServerRecord} from './server-record.js';
 import type {ServiceState} from './service-state.js';
-import type {AttemptReport, UpstreamOutcome} from './upstream-outcome.js';
+import type {
+  AttemptReport,
+  OutcomeReports,
+  UpstreamOutcome,
+} from './upstream-outcome.js';
 import type {UpstreamResponse, UpstreamRequest} from './upstream-request.js';
 
 export interface RunOptions {
+  /** Name of the route. */
+  route: string;
   service: string;
   request: UpstreamRequest;
   team: string | undefined;
@@ -42,7 +49,7 @@
   limits: KnownLimits;
   grants: LimitGrants;
   chooser: ServerChooser;
-  crashCheck: CrashCheck;
+  crashes: CrashGuardContext;
   logger: Logger;
 }
 
@@ -63,6 +70,8 @@
   | {kind: 'slow'}
   | {kind: 'retry-decided'; granted: boolean}
   | {kind: 'chosen'; choice: Choice; pending: Promise<RunEvent>}
+  /** It is known whether a server that ended its connection has gone down. */
+  | {kind: 'loss-checked'; pending: Promise<RunEvent>}
   | {kind: 'deadline'}
   | {kind: 'abandoned'};
 
@@ -73,6 +82,8 @@
 // latency objective and than this multiple of the typical latency.
 const HEDGE_OBJECTIVE_SHARE = 0.5;
 const HEDGE_TYPICAL_FACTOR = 2;
+// A trial of a request that may crash its server needs a second server.
+const MIN_SERVERS_FOR_TRIAL = 2;
 // Maximum idle time of a reused connection. An idle connection may be dead, and a
 // non-idempotent request that is lost on one cannot be retried; a new connection
 // costs a round trip.
@@ -95,6 +106,7 @@
   private pendingRetry: Promise<RunEvent> | undefined;
   /** Choices of a server that wait for a grant. */
   private readonly pendingChoices = new Set<Promise<RunEvent>>();
+  private readonly pendingLossChecks = new Set<Promise<RunEvent>>();
   private readonly turnedAway = new Set<string>();
   /** When a server may have room, if all were at their limits. */
   private retryAfterMs: number | undefined;
@@ -104,10 +116,14 @@
   /** A complete server error response, used if no attempt succeeds. */
   private fallback: {response: UpstreamResponse; serverId: string} | undefined;
 
+  private readonly guard: CrashGuard;
+
   private constructor(
     private readonly options: RunOptions,
     private readonly context: RunContext,
-  ) {}
+  ) {
+    this.guard = CrashGuard.create(options, context.crashes);
+  }
 
   static create(options: RunOptions, context: RunContext): RequestRun {
     return new RequestRun(options, context);
@@ -116,7 +132,8 @@
   async run(): Promise<UpstreamOutcome> {
     const ended = this.watchForEnd();
     try {
-      this.startAttempt();
+      if (this.guard.isHeld) await this.admitHeld();
+      if (!this.options.abandoned.aborted) this.startAttempt();
       for (;;) {
         if (!this.isUnderWay) return this.conclude();
         const event = await this.nextEvent(ended);
@@ -136,7 +153,7 @@
       case 'deadline':
         return this.conclude('deadline passed');
       case 'slow':
-        this.requestRetry('slowness');
+        if (this.guard.allowsHedge) this.requestRetry('slowness');
         return undefined;
       case 'retry-decided':
         this.pendingRetry = undefined;
@@ -146,11 +163,25 @@
         this.pendingChoices.delete(event.pending);
         this.useChoice(event.choice);
         return undefined;
+      case 'loss-checked':
+        this.pendingLossChecks.delete(event.pending);
+        if (this.guard.allowsRetry) this.requestRetry('failure');
+        else this.lastReason += '; not repeated, as servers went down under it';
+        return undefined;
       case 'finished':
         return this.onFinished(event.finished);
     }
   }
 
+  /** Waits until it is known whether a request that is held back may be sent. */
+  private async admitHeld(): Promise<void> {
+    const nowMs = performance.now();
+    const {records} = this.context.state;
+    const usable = records.filter(record => !record.isAvoided(nowMs));
+    const hasSpareServer = usable.length >= MIN_SERVERS_FOR_TRIAL;
+    await this.guard.admit(hasSpareServer, this.options.deadlineAtMs);
+  }
+
   private onFinished(finished: FinishedAttempt): UpstreamOutcome | undefined {
     const {running, result} = finished;
     const {record} = running;
@@ -180,24 +211,33 @@
           result.isStaleConnection ? 'stale-connection' : 'fault',
           result.reason,
         );
-        if (result.isConnectionLost) void this.logLostServer(running);
-        if (this.options.isIdempotent) this.requestRetry('failure');
+        if (result.isConnectionLost) this.checkLoss(running);
+        else if (this.options.isIdempotent) this.requestRetry('failure');
         return undefined;
     }
   }
 
-  /** Logs whether a server that ended the connection has gone down. */
-  private async logLostServer({
+  /** A retry waits until it is known whether the server has gone down. */
+  private checkLoss(running: RunningAttempt): void {
+    const recorded = this.recordLoss(running);
+    const {isIdempotent, deadlineAtMs} = this.options;
+    if (!isIdempotent) return;
+    const pending: Promise<RunEvent> = recorded
+      .then(() => this.guard.waitForRetry(deadlineAtMs))
+      .then(() => ({kind: 'loss-checked', pending}));
+    this.pendingLossChecks.add(pending);
+  }
+
+  private recordLoss({
     record,
     startedAtMs,
-  }: RunningAttempt): Promise<void> {
-    const {crashCheck, logger} = this.context;
-    const {serverId: server, service} = record.run;
-    const afterMs = Math.round(performance.now() - startedAtMs);
-    const isDown = await crashCheck.isDown(record.server.report);
-    const {requestId} = this.options.request;
-    const fields = {requestId, server, service, afterMs, isDown};
-    logger.info('connection to server lost', fields);
+  }: Pick<RunningAttempt, 'record' | 'startedAtMs'>): Promise<void> {
+    return this.guard.recordLoss({
+      run: record.run,
+      address: record.server.report,
+      wasListed: this.context.state.records.includes(record),
+      startedAtMs,
+    });
   }
 
   private onResponse(
@@ -213,6 +253,8 @@
     if (isProcessedStatus(status)) {
       state.recordResponse(record, latencyMs, targetLatencyMs);
       record.recordSuccess();
+      if (response.kind === 'buffered') this.guard.recordSuccess();
+      else response.body.once('end', () => this.guard.recordSuccess());
       const reports = this.collectReports();
       return {kind: 'answered', response, serverId, ...reports};
     }
@@ -256,10 +298,15 @@
     };
   }
 
-  private collectReports(): Pick<UpstreamOutcome, 'attempts' | 'turnedAway'> {
+  private collectReports(): OutcomeReports {
     const open = [...this.running].map(running => toReport(running, undefined));
     const attempts = [...this.reports, ...open];
-    return {attempts, turnedAway: [...this.turnedAway]};
+    const {fingerprint} = this.guard;
+    return {
+      attempts,
+      turnedAway: [...this.turnedAway],
+      ...(fingerprint === undefined ? {} : {fingerprint}),
+    };
   }
 
   /** Whether an attempt is running or may still start. */
@@ -267,7 +314,8 @@
     return (
       this.running.size > 0 ||
       this.pendingRetry !== undefined ||
-      this.pendingChoices.size > 0
+      this.pendingChoices.size > 0 ||
+      this.pendingLossChecks.size > 0
     );
   }
 
@@ -302,6 +350,12 @@
   private startAttempt(): void {
     const {state, chooser} = this.context;
     if (this.remainingMs < 1) return;
+    const held = this.guard.refuseAttempt();
+    if (held) {
+      this.lastReason = held.reason;
+      this.retryAfterMs = held.retryAfterMs;
+      return;
+    }
     const {targetLatencyMs, team, rank} = this.options;
     const baselineMs = state.baselineMs(targetLatencyMs);
     const choice = chooser.choose(
@@ -361,7 +415,10 @@
       remainingMs,
       headerNames,
       onLimitRead: reading => this.onLimitRead(record, reading, startedAtMs),
-      onStreamFailed: reason => state.recordFailure(record, 'fault', reason),
+      onStreamFailed: (reason, isConnectionLost) => {
+        state.recordFailure(record, 'fault', reason);
+        if (isConnectionLost) void this.recordLoss({record, startedAtMs});
+      },
       onReleased: reusable => {
         record.inFlight -= 1;
         if (reusable) record.pool.release(connection);
@@ -401,7 +458,7 @@
   private async nextEvent(ended: Promise<RunEvent>): Promise<RunEvent> {
     const waits: Promise<RunEvent>[] = [ended];
     if (this.pendingRetry) waits.push(this.pendingRetry);
-    waits.push(...this.pendingChoices);
+    waits.push(...this.pendingChoices, ...this.pendingLossChecks);
     for (const {done} of this.running) {
       waits.push(done.then(finished => ({kind: 'finished', finished})));
     }
--- a/packages/upstream/src/lib/upstream-outcome.ts
+++ b/packages/upstream/src/lib/upstream-outcome.ts
@@ -10,17 +10,22 @@
   tookMs: number;
 }
 
-export type UpstreamOutcome = {
+export interface OutcomeReports {
   attempts: AttemptReport[];
   /** Servers that were not used because they are at their limits. */
   turnedAway: string[];
-} & (
-  | {kind: 'answered'; response: UpstreamResponse; serverId: string}
-  /** The request has not run and will not run. */
-  | {kind: 'not-run'; reason: string; retryAfterMs?: number}
-  /** The request may have run; there is no response to forward. */
-  | {kind: 'unknown'; reason: string}
-  /** The deadline passed after the request was sent. */
-  | {kind: 'deadline'}
-  | {kind: 'abandoned'}
-);
+  /** Digest of a request that was suspected of crashing servers. */
+  fingerprint?: string;
+}
+
+export type UpstreamOutcome = OutcomeReports &
+  (
+    | {kind: 'answered'; response: UpstreamResponse; serverId: string}
+    /** The request has not run and will not run. */
+    | {kind: 'not-run'; reason: string; retryAfterMs?: number}
+    /** The request may have run; there is no response to forward. */
+    | {kind: 'unknown'; reason: string}
+    /** The deadline passed after the request was sent. */
+    | {kind: 'deadline'}
+    | {kind: 'abandoned'}
+  );
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -5,6 +5,7 @@
 import type {CatalogServer} from '@fireflytrack/discovery';
 import type {Logger} from '@fireflytrack/telemetry';
 import {ConnectCheck} from './crash-check.js';
+import type {CrashSuspects} from './crash-suspects.js';
 import type {HeaderNames} from './http-conventions.js';
 import type {KnownLimits} from './known-limits.js';
 import type {LimitGrants} from './limit-grants.js';
@@ -40,6 +41,10 @@
   /** Limits that servers have named; shared with the exchange between instances. */
   limits: KnownLimits;
   grants: LimitGrants;
+  /** Requests that may crash servers; shared with the exchange. */
+  suspects: CrashSuspects;
+  /** Asks for the one trial of a held request that the fleet makes. */
+  requestTrial(digest: string): Promise<boolean>;
   /** Called when a server is avoided because it failed a request here. */
   onFailure(failure: ObservedFailure): void;
   logger: Logger;
@@ -54,6 +59,8 @@
   private readonly picker: ServerPicker;
   private readonly choosers = new Map<string, ServerChooser>();
   private readonly crashCheck = ConnectCheck.create();
+  /** Attempts not made because the request may crash its server. */
+  heldBack = 0;
 
   private constructor(private readonly options: UpstreamOptions) {
     this.picker = ServerPicker.create(options.location, options.regionOf);
@@ -90,7 +97,7 @@
   run(options: RunOptions): Promise<UpstreamOutcome> {
     const state = this.getOrCreateService(options.service);
     state.budget.recordRequest();
-    const {headerNames, limits, grants, logger} = this.options;
+    const {headerNames, limits, grants, suspects, logger} = this.options;
     const chooser = this.getOrCreateChooser(options.service);
     return RequestRun.create(options, {
       state,
@@ -98,7 +105,13 @@
       headerNames,
       limits,
       grants,
-      crashCheck: this.crashCheck,
+      crashes: {
+        suspects,
+        check: this.crashCheck,
+        requestTrial: digest => this.options.requestTrial(digest),
+        onHeldBack: () => (this.heldBack += 1),
+        logger,
+      },
       logger,
     }).run();
   }
--- a/packages/upstream/src/selection.ts
+++ b/packages/upstream/src/selection.ts
@@ -1,4 +1,6 @@
 /** Selection of servers without connections, for simulations. */
+export {CrashGuard} from './lib/crash-guard.js';
+export type {CrashGuardContext} from './lib/crash-guard.js';
 export {ServerChooser} from './lib/server-chooser.js';
 export type {Choice} from './lib/server-chooser.js';
 export {ServerPicker} from './lib/server-picker.js';
--- a/packages/upstream/src/test/endless-response_test.ts
+++ b/packages/upstream/src/test/endless-response_test.ts
@@ -93,6 +93,7 @@
 
   function run(isIdempotent: boolean, requestId = 'r1') {
     return upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -33,6 +33,7 @@
 
   function run(change: Partial<RunOptions> = {}): Promise<UpstreamOutcome> {
     return upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId: 'r1',
--- a/packages/upstream/src/test/server-limit_test.ts
+++ b/packages/upstream/src/test/server-limit_test.ts
@@ -97,6 +97,7 @@
     nextId += 1;
     const requestId = `limit-${nextId}`;
     await scripted.upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -1,6 +1,7 @@
 /** An upstream whose servers are scripted; the first one is tried first. */
 import type {CatalogServer} from '@fireflytrack/discovery';
 import {createLogger} from '@fireflytrack/telemetry';
+import {CrashSuspects} from '../lib/crash-suspects.js';
 import {KnownLimits} from '../lib/known-limits.js';
 import {Upstream} from '../lib/upstream.js';
 import type {ObservedFailure} from '../lib/upstream.js';
@@ -16,12 +17,18 @@
   readonly failures: ObservedFailure[] = [];
   readonly upstream: Upstream;
   readonly limits: KnownLimits;
+  readonly suspects: CrashSuspects;
   /** Runs before each grant. */
   beforeGrant: () => Promise<void> = async () => {};
 
   private constructor() {
     const logger = createLogger({level: 'error', silent: true});
     this.limits = KnownLimits.create(logger);
+    this.suspects = CrashSuspects.create({
+      holdAfter: 3,
+      holdMs: 60_000,
+      logger,
+    });
     this.upstream = Upstream.create({
       location: {availabilityZone: 'z1', region: 'r'},
       regionOf: () => 'r',
@@ -43,6 +50,8 @@
       floorShare: 0.7,
       onFailure: failure => this.failures.push(failure),
       limits: this.limits,
+      suspects: this.suspects,
+      requestTrial: async () => false,
       // Grants every request to the preferred server.
       grants: {
         requestGrant: async ({candidates}) => {
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Leader election per availability zone and the services the leader provides.
  */
+export {CrashExchange} from './lib/crash-exchange.js';
 export {FailureExchange} from './lib/failure-exchange.js';
 export type {
   FailureExchangeOptions,
