--- a/packages/proofs/src/lib/zone-fleet.ts
+++ b/packages/proofs/src/lib/zone-fleet.ts
@@ -25,6 +25,8 @@
   leads: boolean;
   suspended: boolean;
   cutOff: boolean;
+  /** Leaders by the rows that it read last. */
+  knownLeaders: readonly Leader[];
   /** Monotonic time of the end of its last fault. */
   disturbedUntilMs: number;
 }
@@ -34,6 +36,11 @@
   instancesPerZone: number;
   network: MemoryNetwork;
   random: Random;
+  /**
+   * Whether instances know the leaders of other zones by the rows that they read
+   * last. Otherwise they know them at once.
+   */
+  readsRows?: boolean;
   startProcess(instance: ZoneInstance<Process>): Process;
   /** Called when the process has joined the network. */
   onJoined(
@@ -133,6 +140,7 @@
         leads: false,
         suspended: false,
         cutOff: false,
+        knownLeaders: [],
         disturbedUntilMs: -Infinity,
       };
       this.instances.push(instance);
@@ -146,6 +154,8 @@
     const process = startProcess(instance);
     instance.leads = this.leaderRows.get(availabilityZone) === instance;
     instance.process = process;
+    this.readRows(instance);
+    this.pollRows(instance, process);
     const peers = network.join({instanceId, availabilityZone, region});
     onJoined(instance, peers, this.electionOf(instance));
     if (instance.leads) process.becomeLeader();
@@ -155,7 +165,8 @@
   private electionOf(instance: ZoneInstance<Process>): LimitElection {
     const {availabilityZone} = instance;
     const findOwn = () => this.leaderRows.get(availabilityZone);
-    const otherLeaders = () => [...this.leaderRows.values()];
+    const otherLeaders = () =>
+      this.options.readsRows ? instance.knownLeaders : this.listLeaders();
     const isConnected = (leader: Leader) =>
       hasProcess(this.findInstance(leader.instanceId));
     return {
@@ -168,14 +179,31 @@
         return isOther && hasProcess(leader) ? leaderRowOf(leader) : undefined;
       },
       get otherLeaders(): Leader[] {
-        return otherLeaders()
-          .filter(leader => leader.availabilityZone !== availabilityZone)
-          .map(leaderRowOf);
+        return otherLeaders().filter(
+          leader => leader.availabilityZone !== availabilityZone,
+        );
       },
       connect: async leader => isConnected(leader),
     };
   }
 
+  private listLeaders(): Leader[] {
+    return [...this.leaderRows.values()].map(leaderRowOf);
+  }
+
+  private readRows(instance: ZoneInstance<Process>): void {
+    instance.knownLeaders = this.listLeaders();
+  }
+
+  /** A leader reads the rows again and again. */
+  private pollRows(instance: ZoneInstance<Process>, process: Process): void {
+    setTimeout(() => {
+      if (instance.process !== process) return;
+      if (instance.leads && !instance.suspended) this.readRows(instance);
+      this.pollRows(instance, process);
+    }, ROW_POLL_MS);
+  }
+
   private findInstance(instanceId: string): ZoneInstance<Process> {
     return this.instances.find(item => item.instanceId === instanceId)!;
   }
@@ -203,6 +231,7 @@
       if (!successor) return;
       this.leaderRows.set(availabilityZone, successor);
       successor.leads = true;
+      this.readRows(successor);
       successor.process!.becomeLeader();
       for (const member of candidates) {
         if (member !== successor) this.followLeader(member);
@@ -224,6 +253,7 @@
   private followLeader(instance: ZoneInstance<Process>): void {
     const leader = this.leaderRows.get(instance.availabilityZone);
     if (!leader || leader === instance) return;
+    this.readRows(instance);
     instance.process?.followLeader(leaderRowOf(leader));
   }
 
