Repeat the exchange of crashes with a leader that does not answer

The exchange is now tried up to 10 times, 0.5 s apart, while the leader is listed. The new case of crash-exchange_test fails with a single try.

--- a/packages/zone/src/lib/crash-exchange.ts
+++ b/packages/zone/src/lib/crash-exchange.ts
@@ -44,6 +44,8 @@
 const MIN_CRASHES_TOLD_TO_ZONE = 2;
 const MAX_SYNCED = 200;
 const LEADERS_SYNCED = 3;
+const MAX_SYNC_TRIES = 10;
+const SYNC_RETRY_MS = 500;
 const LEADER_CHECK_MS = 200;
 const TRIAL_TIMEOUT_MS = 300;
 const TRIAL_RETRY_MS = 1000;
@@ -354,9 +356,18 @@
     return ack.data.accepted;
   }
 
+  /** Exchanges all that is known with a leader; repeated while it is silent. */
   private async synchronize(leader: Leader): Promise<void> {
+    for (let tries = 0; tries < MAX_SYNC_TRIES; tries += 1) {
+      if (await this.trySynchronize(leader)) return;
+      await sleep(SYNC_RETRY_MS);
+      if (!this.isListed(leader)) return;
+    }
+  }
+
+  private async trySynchronize(leader: Leader): Promise<boolean> {
     const {network, election} = this.access!;
-    if (!(await election.connect(leader, CONNECT_TIMEOUT_MS))) return;
+    if (!(await election.connect(leader, CONNECT_TIMEOUT_MS))) return false;
     const response = await network.request(
       leader.instanceId,
       SYNC_KIND,
@@ -364,14 +375,17 @@
       ACK_TIMEOUT_MS,
     );
     const synced = syncSchema.safeParse(response.ok ? response.val : undefined);
+    if (!synced.success) return false;
     // Leaders have told each other already.
-    if (synced.success)
-      this.mergeAll(synced.data.suspicions, election.isLeader);
-    // Without a response, what is known here is told again.
-    else if (!election.isLeader) {
-      for (const digest of this.suspects.listDigests())
-        this.tell(OWN_LEADER, digest);
-    }
+    this.mergeAll(synced.data.suspicions, election.isLeader);
+    return true;
+  }
+
+  private isListed({instanceId}: Leader): boolean {
+    const {reachableLeader, otherLeaders} = this.access!.election;
+    return [reachableLeader, ...otherLeaders].some(
+      leader => leader?.instanceId === instanceId,
+    );
   }
 
   private listKnown(): Suspicion[] {
--- a/packages/zone/src/test/crash-exchange_test.ts
+++ b/packages/zone/src/test/crash-exchange_test.ts
@@ -162,6 +162,23 @@
     expect(knowing(1)).toEqual(['a1', 'a2', 'b1', 'c1']);
   });
 
+  // Guards against an instance that starts while its leader is silent for a moment
+  // and never learns of the crashes.
+  it('repeats the exchange with a leader that does not answer', async () => {
+    crash('a2', 's1');
+    crash('a2', 's2');
+    await clock.tickAsync(100);
+    network.leave('b2');
+    network.suspend('b1');
+    join('b2', 'b');
+    instances.get('b2')!.exchange.followLeader(rowOf('b'));
+    await clock.tickAsync(600);
+    // The response to the first request comes too late.
+    network.resume('b1');
+    await clock.tickAsync(1000);
+    expect(knowing(2)).toEqual(all());
+  });
+
   // Guards against a crash that the reporting instance alone remembers.
   it('finds the next leader while its own does not answer', async () => {
     network.suspend('a1');
