Let instances settle when a request was on many servers that went down

A popular request can be on more servers than are kept for it (32) when a zone goes down. The oldest was dropped for each new one, so that instances told each other forever of what they had dropped. Now only the oldest cleared crash gives way, and only to a later one. The new case of crash-suspects_test fails with the former rule.

The pause between two requests for a trial holds for each request by itself.

The simulation counted requests whose servers were all down as held back; they have a result of their own now.

--- a/packages/proofs/src/lib/crash-fleet.ts
+++ b/packages/proofs/src/lib/crash-fleet.ts
@@ -59,8 +59,11 @@
 export interface CrashRequest {
   target: string;
   atMs: number;
-  /** `failed` stands for a request that may have run. */
-  result: 'served' | 'refused' | 'failed';
+  /**
+   * `refused` stands for a request that is held back, `unreached` for one whose
+   * servers were all down, `failed` for one that may have run.
+   */
+  result: 'served' | 'refused' | 'unreached' | 'failed';
 }
 
 const ROUTE = 'reads';
@@ -220,7 +223,7 @@
       await guard.waitForRetry(sentAtMs + DEADLINE_MS);
       if (!guard.allowsRetry) return 'failed';
     }
-    return sent === 0 ? 'refused' : 'failed';
+    return sent === 0 ? 'unreached' : 'failed';
   }
 
   private attempt(
--- a/packages/upstream/src/lib/crash-suspects.ts
+++ b/packages/upstream/src/lib/crash-suspects.ts
@@ -78,7 +78,7 @@
 type Source = 'own' | 'peer';
 
 export const MAX_SUSPECTS = 1000;
-const MAX_CRASHES_PER_SUSPECT = 32;
+export const MAX_CRASHES_PER_SUSPECT = 32;
 export const MAX_HOLD_MS = 3_600_000;
 // A crash that no other has joined within this time was most likely not caused by
 // the request.
@@ -348,13 +348,21 @@
     return true;
   }
   if (entry.crashes.size >= MAX_CRASHES_PER_SUSPECT) {
-    const [oldest] = entry.crashes.keys();
-    entry.crashes.delete(oldest!);
+    // Only an older crash makes room: instances would otherwise tell each other
+    // forever of crashes that they have dropped.
+    const oldest = findOldestCleared(entry);
+    if (!oldest || oldest[1].atMs >= crash.atMs) return false;
+    entry.crashes.delete(oldest[0]);
   }
   entry.crashes.set(key, crash);
   return true;
 }
 
+function findOldestCleared({crashes}: Entry): [string, Crash] | undefined {
+  const cleared = [...crashes].filter(([, crash]) => crash.cleared);
+  return cleared.sort(([, a], [, b]) => a.atMs - b.atMs)[0];
+}
+
 /** Takes over the trials of another instance if it knows of more. */
 function mergeTrials(
   entry: Entry,
--- a/packages/upstream/src/test/crash-suspects_test.ts
+++ b/packages/upstream/src/test/crash-suspects_test.ts
@@ -9,6 +9,7 @@
 import {
   CRASH_LIFETIME_MS,
   CrashSuspects,
+  MAX_CRASHES_PER_SUSPECT,
   MAX_HOLD_MS,
   MAX_SUSPECTS,
 } from '../lib/crash-suspects.js';
@@ -90,6 +91,33 @@
     expect(suspects.find('d')!.crashes).toEqual(1);
   });
 
+  // Guards against instances that tell each other forever of crashes which they
+  // have dropped.
+  it('settle when more servers went down than are kept', () => {
+    const [first, second] = [create(), create()];
+    for (let index = 0; index < 2 * MAX_CRASHES_PER_SUSPECT; index += 1) {
+      for (const [name, suspects] of Object.entries({first, second})) {
+        clock.tick(1);
+        suspects.recordCrash(identityOf('d'), runOf(`${name}-${index}`));
+        suspects.recordSuccess('d');
+      }
+    }
+    // The messages cross.
+    const exchange = () => {
+      const [fromFirst, fromSecond] = [first.read('d')!, second.read('d')!];
+      const news = [first.merge(fromSecond), second.merge(fromFirst)];
+      return news.includes(true);
+    };
+    exchange();
+    expect(exchange()).toEqual(false);
+    expect(first.read('d')!.crashes.length).toEqual(MAX_CRASHES_PER_SUSPECT);
+    for (const id of ['s1', 's2', 's3']) {
+      clock.tick(1);
+      first.recordCrash(identityOf('d'), runOf(id));
+    }
+    expect(first.find('d')!.isHeld).toEqual(true);
+  });
+
   it('are forgotten if no further crash follows', () => {
     const suspects = create();
     suspects.recordCrash(identityOf('d'), runOf('s1'));
--- a/packages/zone/src/lib/crash-exchange.ts
+++ b/packages/zone/src/lib/crash-exchange.ts
@@ -139,10 +139,12 @@
   async requestTrial(digest: string): Promise<boolean> {
     const {access} = this;
     if (!access) return false;
-    const pausedUntilMs = this.trialPausedUntilMs.get(digest) ?? 0;
-    if (performance.now() < pausedUntilMs) return false;
-    this.trialPausedUntilMs.clear();
-    this.trialPausedUntilMs.set(digest, performance.now() + TRIAL_RETRY_MS);
+    const nowMs = performance.now();
+    for (const [paused, untilMs] of this.trialPausedUntilMs) {
+      if (nowMs >= untilMs) this.trialPausedUntilMs.delete(paused);
+    }
+    if (this.trialPausedUntilMs.has(digest)) return false;
+    this.trialPausedUntilMs.set(digest, nowMs + TRIAL_RETRY_MS);
     const request = {digest, forwarded: false};
     if (access.election.isLeader)
       return (await this.findTrial(request)).granted;
