--- a/packages/gateway/src/testing/settings-text.ts
+++ b/packages/gateway/src/testing/settings-text.ts
@@ -12,6 +12,7 @@
   revocationMs?: number;
   policyApplyMs?: number;
   stopWithinMs?: number;
+  crashHoldMs?: number;
 }
 
 export function settingsText(overrides: SettingsOverrides): string {
@@ -56,6 +57,9 @@
 floor_share = 0.7
 rate_overrun = 0.1
 rate_slack = 20
+[crashes]
+hold_after = 3
+hold_ms = ${overrides.crashHoldMs ?? 300_000}
 [log]
 level = ${overrides.level ?? 'info'}
 `;
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -41,6 +41,7 @@
     sent += 1;
     const requestId = `r${sent}`;
     return upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
