--- a/packages/upstream/src/test/attempt-ends_test.ts
+++ b/packages/upstream/src/test/attempt-ends_test.ts
@@ -159,6 +159,7 @@
     deadlineMs = DEADLINE_MS,
   ): Promise<UpstreamOutcome> {
     return scripted.upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
--- a/packages/upstream/src/test/cut-head_test.ts
+++ b/packages/upstream/src/test/cut-head_test.ts
@@ -96,6 +96,7 @@
     method: string,
   ): Promise<UpstreamOutcome> {
     return scripted.upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
--- a/packages/upstream/src/test/paused-response_test.ts
+++ b/packages/upstream/src/test/paused-response_test.ts
@@ -85,6 +85,7 @@
       },
     ]);
     const outcome = await scripted.upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId: 'r1',
--- a/packages/upstream/src/test/refused-twice_test.ts
+++ b/packages/upstream/src/test/refused-twice_test.ts
@@ -88,6 +88,7 @@
     maxAttempts = MAX_ATTEMPTS,
   ): Promise<UpstreamOutcome> {
     return scripted.upstream.run({
+      route: 'reads',
       service: SERVICE,
       request: {
         requestId,
--- a/packages/upstream/src/test/reset-while-paused_test.ts
+++ b/packages/upstream/src/test/reset-while-paused_test.ts
@@ -64,6 +64,7 @@
 
 async function expectFailedBody(scripted: ScriptedUpstream): Promise<void> {
   const outcome = await scripted.upstream.run({
+    route: 'reads',
     service: SERVICE,
     request: {
       requestId: 'r1',
