Count a server whose connection cannot be created as not sent to

What callers saw: when the list of servers held an address such as "bad host:80", "[:80" or "%:80", each request for which that server was chosen ended without a response. The server was not avoided, so the next requests chose it again, and after as many of them as connections are allowed it was skipped without a word.

Cause: undici builds a URL of host and port and throws if it cannot. The pool had counted the connection by then, and nothing between it and the end of the request took the exception for a failure of the server.

The pool now counts a connection once it exists, and says "at limit" or "failed" with the reason. The run records a failure of the server, as for a connection that was refused, and goes on with another one. IPv6 addresses, for which every connection failed in the same way, are put in brackets in the URL.

Conclusion: an address that cannot be used costs one attempt that was not sent.

--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -164,11 +164,8 @@
         this.requestRetry('failure');
         return undefined;
       case 'not-sent':
-        this.lastReason = result.reason;
         this.sentAttempts -= 1;
-        this.unsentAttempts += 1;
-        state.recordFailure(record, 'fault', result.reason);
-        if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) this.startAttempt();
+        this.onNotSent(record, result.reason);
         return undefined;
       case 'failed':
         this.lastReason = result.reason;
@@ -183,6 +180,13 @@
     }
   }
 
+  private onNotSent(record: ServerRecord, reason: string): void {
+    this.lastReason = reason;
+    this.unsentAttempts += 1;
+    this.context.state.recordFailure(record, 'fault', reason);
+    if (this.unsentAttempts < MAX_UNSENT_ATTEMPTS) this.startAttempt();
+  }
+
   private onResponse(
     running: RunningAttempt,
     response: UpstreamResponse,
@@ -330,9 +334,17 @@
   private sendTo(record: ServerRecord): void {
     const {options, context, remainingMs} = this;
     const {state, headerNames} = context;
-    const connection = record.pool.acquire(this.maxIdleMs(record));
-    if (!connection) return;
+    const acquired = record.pool.acquire(this.maxIdleMs(record));
+    if (acquired.kind === 'at-limit') return;
     this.tried.add(record);
+    if (acquired.kind === 'failed') {
+      const {serverId: server} = record;
+      const {reason} = acquired;
+      this.reports.push({server, result: 'not-sent', reason, tookMs: 0});
+      this.onNotSent(record, reason);
+      return;
+    }
+    const {connection} = acquired;
     this.sentAttempts += 1;
     record.inFlight += 1;
     const startedAtMs = performance.now();
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -5,7 +5,7 @@
  * with "Connection: close" as complete when the connection is reset, and a
  * chunked one also when the connection ends before the last chunk.
  */
-import {connect} from 'node:net';
+import {connect, isIPv6} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
@@ -34,7 +34,8 @@
   private readonly framing = FramingMeter.create();
 
   private constructor(host: string, port: number, onClosed: () => void) {
-    this.client = new Client(`http://${host}:${port}`, {
+    const urlHost = isIPv6(host) ? `[${host}]` : host;
+    this.client = new Client(`http://${urlHost}:${port}`, {
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -48,6 +49,7 @@
     this.client.on('disconnect', onClosed);
   }
 
+  /** Throws if the address cannot be part of a URL. */
   static create(
     host: string,
     port: number,
--- a/packages/upstream/src/lib/server-pool.ts
+++ b/packages/upstream/src/lib/server-pool.ts
@@ -8,6 +8,12 @@
   maxConnections(): number;
 }
 
+export type AcquireResult =
+  | {kind: 'acquired'; connection: ServerConnection}
+  | {kind: 'at-limit'}
+  /** No connection can be created to the address of the server. */
+  | {kind: 'failed'; reason: string};
+
 export class ServerPool {
   private readonly idle: ServerConnection[] = [];
   /** Number of open connections, idle or in use. */
@@ -27,18 +33,30 @@
 
   /**
    * Returns the most recently used connection if it has been idle for at most
-   * `maxIdleMs`, or opens a new one; undefined at the limit. The connection
-   * carries one request and is then released or discarded.
+   * `maxIdleMs`, or opens a new one. The connection carries one request and is
+   * then released or discarded.
    */
-  acquire(maxIdleMs: number): ServerConnection | undefined {
+  acquire(maxIdleMs: number): AcquireResult {
     while (this.idle.length > 0) {
       const connection = this.idle.pop()!;
       const idleMs = performance.now() - connection.idleSinceMs;
-      if (connection.isOpen && idleMs <= maxIdleMs) return connection;
+      if (connection.isOpen && idleMs <= maxIdleMs) {
+        return {kind: 'acquired', connection};
+      }
       this.discard(connection);
     }
-    if (this.size >= this.options.maxConnections()) return undefined;
-    this.size += 1;
+    if (this.size >= this.options.maxConnections()) return {kind: 'at-limit'};
+    try {
+      const connection = this.create();
+      this.size += 1;
+      return {kind: 'acquired', connection};
+    } catch (error) {
+      // The caller logs the reason as a failure of the server.
+      return {kind: 'failed', reason: `no connection: ${String(error)}`};
+    }
+  }
+
+  private create(): ServerConnection {
     const {host, port} = this.options;
     const connection = ServerConnection.create(host, port, () => {
       const index = this.idle.indexOf(connection);
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -61,6 +61,13 @@
     return scripted;
   }
 
+  /** Removes the entry of a server and adds it again, as it is now. */
+  replace(index: number): void {
+    const entry = this.entries[index]!;
+    this.upstream.removeServer(entry);
+    this.upstream.addServer(entry);
+  }
+
   stop(): void {
     this.upstream.close();
     for (const server of this.servers.splice(0)) server.stop();
