Go on with a feed after a page that cannot be applied

What operators would see: an exception while a page of the servers or of the configuration is applied, or within the reader of a feed, ended the process with an unhandled rejection, and again after each start while the page is in the store.

Cause: the task that follows a feed had no boundary for exceptions.

An exception of the reader now counts as an outage of the feed; one of the listener costs the line "feed page not applied" (error), and the feed goes on with the next page. Reasons in log lines of feeds are bounded and without control characters.

No entry is known that makes a page fail today; this bounds those not found.

--- a/packages/discovery/src/lib/feed-follower.ts
+++ b/packages/discovery/src/lib/feed-follower.ts
@@ -6,8 +6,16 @@
  * it, and does a full read otherwise. It never returns to an earlier era of the
  * table.
  */
+import {Err} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
+import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
-import type {ChangeFeed, FeedPage, FeedPosition} from './change-feed.js';
+import type {
+  ChangeFeed,
+  FeedError,
+  FeedPage,
+  FeedPosition,
+} from './change-feed.js';
 
 export interface FeedListener<Item> {
   /** Called before each call to the feed; calls never overlap. */
@@ -81,13 +89,11 @@
 
   /** Makes one call. Returns the pause before the next in milliseconds. */
   private async poll(): Promise<number> {
-    const {feed, waitMs, pauseMs, listener} = this.options;
+    const {pauseMs, listener} = this.options;
     listener.onCallStart?.();
     const {position} = this;
     const complete = position === undefined;
-    const page = complete
-      ? await feed.readAll(this.newestEra ?? 0)
-      : await feed.changesAfter(position, waitMs);
+    const page = await this.read(position);
     if (this.stopped) return 0;
     if (page.err) return this.handleFailure(page.val.kind, page.val.message);
     const {era} = page.val.position;
@@ -100,21 +106,47 @@
     this.handleRecovery();
     this.recordEra(era);
     this.position = page.val.position;
-    listener.onPage(page.val, complete);
+    this.passOn(page.val, complete);
     return page.val.rows.length > 0 ? pauseMs : 0;
   }
 
+  private async read(
+    position: FeedPosition | undefined,
+  ): Promise<Result<FeedPage<Item>, FeedError>> {
+    const {feed, waitMs} = this.options;
+    try {
+      return position
+        ? await feed.changesAfter(position, waitMs)
+        : await feed.readAll(this.newestEra ?? 0);
+    } catch (error) {
+      return Err({kind: 'unavailable', message: String(error)});
+    }
+  }
+
+  /** A page that cannot be applied must end neither the feed nor the process. */
+  private passOn(page: FeedPage<Item>, complete: boolean): void {
+    const {name, listener, logger} = this.options;
+    try {
+      listener.onPage(page, complete);
+    } catch (error) {
+      const {revision} = page.position;
+      const reason = toLogText(String(error));
+      logger.error('feed page not applied', {feed: name, revision, reason});
+    }
+  }
+
   private handleFailure(kind: string, message: string): number {
     const {name, logger, listener} = this.options;
     if (kind === 'history-gone') {
-      const fields = {feed: name, reason: message};
+      const fields = {feed: name, reason: toLogText(message)};
       logger.warn('feed history gone, reading all rows', fields);
       this.position = undefined;
       return 0;
     }
     this.failures += 1;
     if (this.failures === 1) {
-      logger.warn('dependency lost', {dependency: name, reason: message});
+      const reason = toLogText(message);
+      logger.warn('dependency lost', {dependency: name, reason});
       listener.onUnavailable?.();
     }
     const growth = 2 ** Math.min(this.failures - 1, 4);
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -8,3 +8,4 @@
 export type {Metrics, MetricTags, StatsdOptions} from './lib/metrics.js';
 export {StateDump} from './lib/state-dump.js';
 export type {StateProvider} from './lib/state-dump.js';
+export {toLogText} from './lib/log-text.js';
