Take only bounded positions and ages from a zone leader

What callers and operators would see after an odd page of a leader: an age of -1e308 ms confirmed the configuration for good, so that withdrawn keys were accepted without end; an era of 1e308 made the member refuse every page of the store from then on; one row without a key turned the whole page down, without a log line. A member could hold a request open for a wait of 1e308 ms, which timers take for 1 ms.

Cause: positions, ages and waits of the relay were plain numbers, and all rows were parsed at once.

Positions must be safe integers of at least 0, ages and waits at most a minute, and rows are parsed one by one. The log says "relayed row not taken" once per row and "relayed page not taken" once per run of such pages, if the feed is given a logger; the gateway does not give one yet.

--- a/packages/zone/src/lib/feed-relay.ts
+++ b/packages/zone/src/lib/feed-relay.ts
@@ -21,26 +21,38 @@
 /** Returns the age in milliseconds of the last confirmation of the rows. */
 export type AgeReader = () => number;
 
+// Longest wait that a member may ask for; timers hold no more than 24 days.
+const MAX_WAIT_MS = 60_000;
+// A leader serves no page with an older confirmation.
+const MAX_AGE_MS = 60_000;
+// Rounding may put a confirmation that just arrived into the future.
+const MIN_AGE_MS = -1;
+
+const positionNumberSchema = z.number().int().nonnegative();
+
 export const relayRequestSchema = z.object({
   /** Last revision that the member has; absent to request all rows. */
-  after: z.number().optional(),
+  after: positionNumberSchema.optional(),
   /**
    * Latest era of the table that the member knows, which `after` belongs to;
    * absent in requests of earlier builds.
    */
-  era: z.number().optional(),
-  waitMs: z.number().nonnegative(),
+  era: positionNumberSchema.optional(),
+  waitMs: z.number().nonnegative().max(MAX_WAIT_MS),
 });
 export type RelayRequest = z.infer<typeof relayRequestSchema>;
 
+export const relayRowSchema = z.object({key: z.string(), item: z.unknown()});
+
 export const relayResponseSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('page'),
-    rows: z.array(z.object({key: z.string(), item: z.unknown()})),
-    era: z.number(),
-    revision: z.number(),
+    /** Each is parsed by itself, so that an odd one costs only itself. */
+    rows: z.array(z.unknown()),
+    era: positionNumberSchema,
+    revision: positionNumberSchema,
     /** Age of the confirmation when the response was created. */
-    ageMs: z.number(),
+    ageMs: z.number().min(MIN_AGE_MS).max(MAX_AGE_MS),
   }),
   z.object({kind: z.literal('history-gone')}),
 ]);
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -8,12 +8,15 @@
   FeedError,
   FeedPage,
   FeedPosition,
+  FeedRow,
 } from '@fireflytrack/discovery';
 import {Err, Ok} from '@fireflytrack/result';
 import type {Result} from '@fireflytrack/result';
+import {toLogText} from '@fireflytrack/telemetry';
+import type {Logger} from '@fireflytrack/telemetry';
 import type {PeerNetwork} from '@fireflytrack/wire';
 import type {z} from 'zod';
-import {FeedRelay, relayResponseSchema} from './feed-relay.js';
+import {FeedRelay, relayResponseSchema, relayRowSchema} from './feed-relay.js';
 import type {RelayRequest} from './feed-relay.js';
 import type {ZoneElection} from './zone-election.js';
 
@@ -23,6 +26,8 @@
   itemSchema: z.ZodType<Item>;
   /** Longest time that the leader may hold a request open, in milliseconds. */
   relayWaitMs: number;
+  /** Gets a line for what a leader sends and is not taken. */
+  logger?: Logger;
 }
 
 /**
@@ -38,10 +43,17 @@
 const RELAY_TIMEOUT_MARGIN_MS = 400;
 // After a failed request to the leader, the table is read for this long.
 const DIRECT_READ_PERIOD_MS = 2000;
+// Longest key of a table; only a faulty leader sends a longer one.
+const MAX_KEY_CHARS = 200;
+// Bounds the memory; rows beyond it are logged again.
+const MAX_LOGGED_ROWS = 1000;
 
 export class RelayedFeed<Item> implements ChangeFeed<Item> {
   private access: RelayAccess | undefined;
   private readDirectUntilMs = 0;
+  /** Keys of rows that were not taken, until they are taken. */
+  private readonly loggedRows = new Set<string | undefined>();
+  private loggedPage = false;
 
   private constructor(private readonly options: RelayedFeedOptions<Item>) {}
 
@@ -92,11 +104,13 @@
     );
     const parsed = response.ok
       ? relayResponseSchema.safeParse(response.val)
-      : response;
-    if (!('success' in parsed) || !parsed.success) {
+      : undefined;
+    if (!parsed?.success) {
       this.readDirectUntilMs = performance.now() + DIRECT_READ_PERIOD_MS;
+      if (parsed) this.logPage(leader.instanceId, parsed.error);
       return undefined;
     }
+    this.loggedPage = false;
     if (parsed.data.kind === 'history-gone') {
       const message = 'the leader does not have it';
       return Err({kind: 'history-gone', message});
@@ -104,17 +118,55 @@
     const {rows, era, revision, ageMs} = parsed.data;
     const elapsedMs = performance.now() - sentAtMs;
     const timedOut = rows.length === 0 && elapsedMs >= request.waitMs;
-    const confirmedOffsetMs = (timedOut ? request.waitMs : 0) - ageMs;
-    const items = rows.map(({key, item}) => ({
-      key,
-      item: this.parseItem(item),
-    }));
+    const confirmedOffsetMs =
+      (timedOut ? request.waitMs : 0) - Math.max(0, ageMs);
+    const items = rows.flatMap(row => this.parseRow(row) ?? []);
     const position = {era, revision};
     return Ok({rows: items, position, confirmedOffsetMs});
   }
 
-  private parseItem(item: unknown): Item | undefined {
+  /** Returns undefined for a row without a key. */
+  private parseRow(value: unknown): FeedRow<Item> | undefined {
+    const row = relayRowSchema.safeParse(value);
+    if (!row.success) {
+      this.logRow(undefined, row.error);
+      return undefined;
+    }
+    const {key, item} = row.data;
+    // The leader has logged rows of the table that name no item.
+    if (item === undefined || item === null) return {key, item: undefined};
     const parsed = this.options.itemSchema.safeParse(item);
-    return parsed.success ? parsed.data : undefined;
+    if (!parsed.success) {
+      this.logRow(key, parsed.error);
+      return {key, item: undefined};
+    }
+    this.loggedRows.delete(key);
+    return {key, item: parsed.data};
+  }
+
+  private logRow(key: string | undefined, error: z.ZodError): void {
+    if (this.loggedRows.has(key)) return;
+    if (this.loggedRows.size >= MAX_LOGGED_ROWS) this.loggedRows.clear();
+    this.loggedRows.add(key);
+    const {name, logger} = this.options;
+    logger?.warn('relayed row not taken', {
+      feed: name,
+      ...(key === undefined ? {} : {entry: toLogText(key, MAX_KEY_CHARS)}),
+      reason: describeError(error),
+    });
+  }
+
+  /** Logs the first of several pages in a row that cannot be read. */
+  private logPage(leader: string, error: z.ZodError): void {
+    if (this.loggedPage) return;
+    this.loggedPage = true;
+    const {name, logger} = this.options;
+    const fields = {feed: name, leader, reason: describeError(error)};
+    logger?.warn('relayed page not taken', fields);
   }
 }
+
+function describeError(error: z.ZodError): string {
+  const issue = error.issues[0];
+  return toLogText(`${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+}
