Let no odd row keep an instance out of its zone

What operators would see: after another writer left a secret of the fleet that is no text, an instance that started never joined its zone, and read and wrote the store without a pause. A leader row in another zone's place hid that zone's leader, and one with a million instances left one connection to each server. An exception in the election's task ended the process. Invalid leader rows were not logged.

Cause: a new secret was written only if there was no row; the schema of the leader rows had no bounds; the task had no boundary for exceptions.

A secret that cannot be used is replaced under the version of its row ("fleet secret not usable, writing another"), with a pause from the second attempt on. Leader rows have bounds and must be in their own zone's place; others cost one line each ("leader row not taken") and are replaced as before. What a leader confirms has the same bounds. An exception of the election is logged ("zone election interrupted"), and it goes on.

--- a/packages/zone/src/lib/fleet-secret.ts
+++ b/packages/zone/src/lib/fleet-secret.ts
@@ -7,24 +7,30 @@
 
 const SECRET_BYTES = 32;
 
-/** Returns the fleet secret in `rows`, or undefined if there is none. */
+// Instances write 44 characters.
+const MAX_SECRET_CHARS = 200;
+
+/** Returns the fleet secret in `rows`, or undefined if none can be used. */
 export function findFleetSecret(rows: readonly TableRow[]): string | undefined {
   const value = rows.find(row => row.key === FLEET_SECRET_KEY)?.value;
-  return typeof value === 'string' && value !== '' ? value : undefined;
+  if (typeof value !== 'string' || value.length > MAX_SECRET_CHARS) {
+    return undefined;
+  }
+  return value === '' ? undefined : value;
 }
 
 /**
- * Stores a new secret unless one exists already. Callers read the table again
- * to learn which secret is in use.
+ * Stores a new secret in place of the one in `rows`, which cannot be used.
+ * Callers read the table again to learn which secret is in use.
  */
-export async function storeNewFleetSecret(table: TableService): Promise<void> {
+export async function storeNewFleetSecret(
+  table: TableService,
+  rows: readonly TableRow[],
+): Promise<void> {
+  const key = FLEET_SECRET_KEY;
+  const ifVersion = findRowVersion(rows, key);
   const value = randomBytes(SECRET_BYTES).toString('base64');
-  await table.batch(
-    [{kind: 'put', key: FLEET_SECRET_KEY, ifVersion: 0, value}],
-    {
-      atomic: true,
-    },
-  );
+  await table.batch([{kind: 'put', key, ifVersion, value}], {atomic: true});
 }
 
 export interface FleetSecretKeeperOptions {
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -7,11 +7,18 @@
  * of a leader must be safe while two instances act as leader.
  */
 import type {TableRow, TableService} from '@fireflytrack/platform';
+import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import type {PeerDialer, PeerIdentity, PeerNetwork} from '@fireflytrack/wire';
 import {z} from 'zod';
 import {sleep} from '@fireflytrack/time';
-import {leaderKey, parseLeaders, findRowVersion} from './leader-row.js';
+import {
+  MAX_INSTANCES,
+  findInvalidLeaders,
+  findRowVersion,
+  leaderKey,
+  parseLeaders,
+} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 import {LeaderView} from './leader-view.js';
 
@@ -35,15 +42,19 @@
 const FLEET_SIZE_KIND = 'zone.fleet-size';
 const RESIGNED_KIND = 'zone.resigned';
 
+// No instance runs for longer.
+const MAX_UPTIME_MS = 10 * 365 * 86_400_000;
+
+const instancesSchema = z.number().int().positive().max(MAX_INSTANCES);
 const confirmationSchema = z.object({
   leads: z.boolean(),
-  instances: z.number().int().positive(),
+  instances: instancesSchema,
   /** Process run of the responding instance, and its uptime. */
   lifeId: z.string().optional(),
-  uptimeMs: z.number().nonnegative().optional(),
+  uptimeMs: z.number().nonnegative().max(MAX_UPTIME_MS).optional(),
 });
 type Confirmation = z.infer<typeof confirmationSchema>;
-const fleetSizeSchema = z.object({instances: z.number().int().positive()});
+const fleetSizeSchema = z.object({instances: instancesSchema});
 
 // Interval at which a leader reads its row; bounds how long two instances may
 // act as leader.
@@ -70,6 +81,8 @@
   private holdsLeadership = false;
   private stopped = false;
   private fleetSize = 1;
+  /** Keys of leader rows that are not valid. */
+  private invalidLeaders: ReadonlySet<string> = new Set();
   /** The leader that last reported that it leads no longer. */
   private resignedId: string | undefined;
   /** When the leader named in the row ended, if that is known. */
@@ -152,22 +165,45 @@
 
   private async run(): Promise<void> {
     while (!this.stopped) {
-      const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
-      if (this.stopped) return;
-      if (rows.err) {
+      try {
+        await this.takeTurn();
+      } catch (error) {
+        // An odd row or response must end neither the election nor the process.
+        const reason = toLogText(String(error));
+        this.options.logger.warn('zone election interrupted', {reason});
         await sleep(TABLE_RETRY_MS);
-        continue;
       }
-      await this.options.onRowsRead?.(rows.val);
-      if (this.stopped) return;
-      this.applyRows(rows.val);
-      this.closeIdleConnections();
-      if (this.holdsLeadership) await this.actAsLeader(rows.val);
-      else if (await this.connectToLeader()) await this.followLeader();
-      else await this.tryBecomeLeader(rows.val);
     }
   }
 
+  private async takeTurn(): Promise<void> {
+    const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
+    if (this.stopped) return;
+    if (rows.err) {
+      await sleep(TABLE_RETRY_MS);
+      return;
+    }
+    await this.options.onRowsRead?.(rows.val);
+    if (this.stopped) return;
+    this.logInvalidLeaders(rows.val);
+    this.applyRows(rows.val);
+    this.closeIdleConnections();
+    if (this.holdsLeadership) await this.actAsLeader(rows.val);
+    else if (await this.connectToLeader()) await this.followLeader();
+    else await this.tryBecomeLeader(rows.val);
+  }
+
+  /** Logs each row in the place of a leader that names none once. */
+  private logInvalidLeaders(rows: readonly TableRow[]): void {
+    const invalid = findInvalidLeaders(rows);
+    for (const {key, version} of invalid) {
+      if (this.invalidLeaders.has(key)) continue;
+      const fields = {entry: toLogText(key), revision: version};
+      this.options.logger.warn('leader row not taken', fields);
+    }
+    this.invalidLeaders = new Set(invalid.map(({key}) => key));
+  }
+
   private applyRows(rows: readonly TableRow[]): void {
     const {self, logger, table} = this.options;
     this.leaders.apply(rows, table.era ?? 0);
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -25,6 +25,7 @@
 import type {ServerFailure} from './failure-exchange.js';
 import type {FeedRelay} from './feed-relay.js';
 import type {RelayAccess, RelayedFeed} from './relayed-feed.js';
+import {FLEET_SECRET_KEY, findRowVersion} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 import type {RateDecision, RateLimiter} from './rate-limiter.js';
 import type {RetryBounds} from './retry-ledger.js';
@@ -240,13 +241,19 @@
   private async readTable(): Promise<
     {secret: string; rows: TableRow[]} | undefined
   > {
-    const {table} = this.options;
-    while (!this.stopped) {
+    const {table, logger} = this.options;
+    for (let attempt = 0; !this.stopped; attempt += 1) {
+      // Several instances may store the first secret at the same time; only what
+      // lasts longer needs a pause.
+      if (attempt > 1) await sleep(TABLE_RETRY_MS);
       const rows = await table.scan('', MAX_SCAN_ROWS);
-      const secret = rows.ok ? findFleetSecret(rows.val) : undefined;
-      if (rows.ok && secret !== undefined) return {secret, rows: rows.val};
-      if (rows.ok) await storeNewFleetSecret(table);
-      else await sleep(TABLE_RETRY_MS);
+      if (rows.err) continue;
+      const secret = findFleetSecret(rows.val);
+      if (secret !== undefined) return {secret, rows: rows.val};
+      if (attempt === 0 && findRowVersion(rows.val, FLEET_SECRET_KEY) > 0) {
+        logger.warn('fleet secret not usable, writing another');
+      }
+      await storeNewFleetSecret(table, rows.val);
     }
     return undefined;
   }
