--- a/packages/zone/src/lib/zone-rate-limiter.ts
+++ b/packages/zone/src/lib/zone-rate-limiter.ts
@@ -50,11 +50,12 @@
   z.object({
     admitted: z.literal(false),
     reason: z.enum(['over-rate', 'no-leader']),
-    retryAfterMs: z.number(),
+    retryAfterMs: z.number().nonnegative(),
   }),
 ]);
-const lendRequestSchema = z.object({team: z.string(), tokens: z.number()});
-const lendResponseSchema = z.object({tokens: z.number().nonnegative()});
+const loanSchema = z.number().nonnegative().max(TOKENS_PER_LOAN);
+const lendRequestSchema = z.object({team: z.string(), tokens: loanSchema});
+const lendResponseSchema = z.object({tokens: loanSchema});
 
 /** Returns the refusal for requests while no leader is reachable. */
 export function createNoLeaderRefusal(): RateDecision {
--- a/packages/zone/src/lib/zone-retries.ts
+++ b/packages/zone/src/lib/zone-retries.ts
@@ -21,11 +21,13 @@
 // Fraction of the retry ratio that is used without a leader, because its
 // earlier grants are not known to this instance.
 const NO_LEADER_RATIO_FRACTION = 0.5;
+// Far above the requests that one instance can receive within a window (10 s).
+const MAX_REPORTED_REQUESTS = 1_000_000;
 
 const takeRequestSchema = z.object({
   service: z.string(),
   /** Requests that the instance received within the last window. */
-  requests: z.number().nonnegative(),
+  requests: z.number().nonnegative().max(MAX_REPORTED_REQUESTS),
   cause: z.enum(['failure', 'slowness']),
 });
 const takeResponseSchema = z.object({granted: z.boolean()});
