--- a/packages/upstream/src/lib/server-pool.ts
+++ b/packages/upstream/src/lib/server-pool.ts
@@ -8,6 +8,12 @@
   maxConnections(): number;
 }
 
+export type AcquireResult =
+  | {kind: 'acquired'; connection: ServerConnection}
+  | {kind: 'at-limit'}
+  /** No connection can be created to the address of the server. */
+  | {kind: 'failed'; reason: string};
+
 export class ServerPool {
   private readonly idle: ServerConnection[] = [];
   /** Number of open connections, idle or in use. */
@@ -27,27 +33,36 @@
 
   /**
    * Returns the most recently used connection if it has been idle for at most
-   * `maxIdleMs` and has not carried `requestId`, or opens a new one; undefined at
-   * the limit. The connection carries one request and is then released or
-   * discarded.
+   * `maxIdleMs` and has not carried `requestId`, or opens a new one. The
+   * connection carries one request and is then released or discarded.
    */
-  acquire(maxIdleMs: number, requestId: string): ServerConnection | undefined {
+  acquire(maxIdleMs: number, requestId: string): AcquireResult {
     for (let index = this.idle.length - 1; index >= 0; index -= 1) {
       const connection = this.idle[index]!;
       const idleMs = performance.now() - connection.idleSinceMs;
       const isUsable = connection.isOpen && idleMs <= maxIdleMs;
       if (isUsable && connection.hasCarried(requestId)) continue;
       this.idle.splice(index, 1);
-      if (isUsable) return connection;
+      if (isUsable) return {kind: 'acquired', connection};
       this.discard(connection);
     }
     // Connections that are still idle make room for a new one.
     while (this.size >= this.options.maxConnections()) {
       const oldest = this.idle.shift();
-      if (!oldest) return undefined;
+      if (!oldest) return {kind: 'at-limit'};
       this.discard(oldest);
     }
-    this.size += 1;
+    try {
+      const connection = this.create();
+      this.size += 1;
+      return {kind: 'acquired', connection};
+    } catch (error) {
+      // The caller logs the reason as a failure of the server.
+      return {kind: 'failed', reason: `no connection: ${String(error)}`};
+    }
+  }
+
+  private create(): ServerConnection {
     const {host, port} = this.options;
     const connection = ServerConnection.create(host, port, () => {
       const index = this.idle.indexOf(connection);
