Begin a streamed response only in its turn

What callers saw: a connection that ended without an answer to a request whose streamed response waited for an earlier one and broke off, or reached its deadline, meanwhile. It takes the requests behind it along.

Cause: the head of the response was written to the queue at once, so that nothing else could be answered. Now the head waits for its turn, and a response that breaks off before it is answered 502.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -110,7 +110,10 @@
     for (const [openRequest, trace] of this.openRequests) {
       if (openRequest.phase === 'server') {
         openRequest.abandoned.abort(INSTANCE_STOPS);
-      } else if (!openRequest.response.headersSent) {
+      } else if (
+        openRequest.phase !== 'response' &&
+        !openRequest.response.headersSent
+      ) {
         this.rejectUnsent(openRequest, trace);
       }
     }
@@ -385,6 +388,13 @@
         upstreamResponse,
         openRequest.abandoned.signal,
       );
+      if (!complete && !response.headersSent) {
+        const reason = 'the response broke off before its turn';
+        const rejection: Rejection = {code: 'outcome-unknown', reason};
+        sendRejection(response, rejection);
+        this.recordRejection(rejection, trace);
+        return;
+      }
       const {status} = upstreamResponse;
       const hasNoProblem =
         trace.attempts.length === 1 && status < 500 && complete;
--- a/packages/gateway/src/lib/send-response.ts
+++ b/packages/gateway/src/lib/send-response.ts
@@ -1,7 +1,7 @@
 /** Writes responses to callers: those of backend servers and rejections. */
 import type {ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
-import type {UpstreamResponse} from '@fireflytrack/upstream';
+import type {StreamedResponse, UpstreamResponse} from '@fireflytrack/upstream';
 import {REJECTION_STATUS} from './rejection.js';
 import type {Rejection} from './rejection.js';
 
@@ -33,13 +33,17 @@
     );
     return true;
   }
+  const {body} = upstreamResponse;
+  await waitForTurn(response, body, abandoned);
+  // The caller gets another answer if nothing has been sent.
+  if (body.destroyed) return false;
   try {
     response.writeHead(upstreamResponse.status, upstreamResponse.headers);
     // A response that waits for an earlier one does not close with its connection.
-    await pipeline(upstreamResponse.body, response, {signal: abandoned});
+    await pipeline(body, response, {signal: abandoned});
     return true;
   } catch (error) {
-    upstreamResponse.body.destroy();
+    body.destroy();
     if (!response.headersSent) throw error;
     // The caller must not mistake a truncated response for a complete one.
     response.destroy();
@@ -47,6 +51,30 @@
   }
 }
 
+/** Waits until the earlier responses have been sent or the body has failed. */
+function waitForTurn(
+  response: ServerResponse,
+  body: StreamedResponse['body'],
+  abandoned: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    if (response.socket || body.destroyed) {
+      resolve();
+      return;
+    }
+    const onAbandoned = () => body.destroy();
+    const end = () => {
+      response.off('socket', end);
+      body.off('close', end);
+      abandoned.removeEventListener('abort', onAbandoned);
+      resolve();
+    };
+    response.once('socket', end);
+    body.once('close', end);
+    abandoned.addEventListener('abort', onAbandoned, {once: true});
+  });
+}
+
 export function sendRejection(
   response: ServerResponse,
   rejection: Rejection,
