Reject configurations whose times no timer can hold

What callers saw: with a time-out of 3e9 ms or 1e308 ms on a route, each request without a deadline of its own was answered 503 at once (3 of 3 in a trial with a whole gateway for each of both values).

Cause: Node.js takes a timer of more than 2^31 - 1 ms for one of 1 ms, and the policy's times, weights and rates had no upper bound.

Times are at most 2e9 ms (23 days), weights and rates at most 1e9.

--- a/packages/policy/src/lib/traffic-policy.ts
+++ b/packages/policy/src/lib/traffic-policy.ts
@@ -5,10 +5,20 @@
  */
 import {z} from 'zod';
 
+// Timers of Node.js hold 2^31 - 1 ms and take longer times for 1 ms. Some times
+// get a margin before they become timers.
+const MAX_TIME_MS = 2_000_000_000;
+// Sums and products with it stay exact enough to compare.
+const MAX_WEIGHT = 1e9;
+// Far above what a fleet can serve.
+const MAX_REQUESTS = 1e9;
+
+const timeSchema = z.number().positive().max(MAX_TIME_MS);
+
 export const splitPartSchema = z.object({
   service: z.string().min(1),
   /** Relative share of the route's requests. */
-  weight: z.number().nonnegative(),
+  weight: z.number().nonnegative().max(MAX_WEIGHT),
 });
 export type SplitPart = z.infer<typeof splitPartSchema>;
 
@@ -22,9 +32,9 @@
   /** One part, or several among which requests are split by weight. */
   parts: z.array(splitPartSchema).min(1),
   /** Maximum time that a caller waits for the response. */
-  timeoutMs: z.number().positive(),
+  timeoutMs: timeSchema,
   /** Latency objective: a response within it has its full value. */
-  targetLatencyMs: z.number().positive(),
+  targetLatencyMs: timeSchema,
   /** Maximum number of servers to which one request may be sent. */
   maxAttempts: z.number().int().min(1),
   /** Priority; 0 is the most important. */
@@ -41,8 +51,8 @@
   /** Overrides the rank of the route when set. */
   rank: z.number().int().nonnegative().optional(),
   /** 0 means no limit. */
-  ratePerSecond: z.number().nonnegative(),
-  burstTokens: z.number().nonnegative(),
+  ratePerSecond: z.number().nonnegative().max(MAX_REQUESTS),
+  burstTokens: z.number().nonnegative().max(MAX_REQUESTS),
 });
 export type TeamPolicy = z.infer<typeof teamPolicySchema>;
 
@@ -57,8 +67,8 @@
 export const callerLimitsSchema = z.object({
   maxHeaderBytes: z.number().int().positive(),
   maxBodyBytes: z.number().int().positive(),
-  headerTimeoutMs: z.number().positive(),
-  idleTimeoutMs: z.number().positive(),
+  headerTimeoutMs: timeSchema,
+  idleTimeoutMs: timeSchema,
 });
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 
