Bound the errors that odd messages of peers cause

What operators would see: a message whose payload a handler refuses was logged with the whole text of the error, which names each odd item of a list; as the reply to a request it could exceed a frame, so that the requester waited for its time-out.

Errors in log lines and replies of the peer network are now bounded and without control characters.

--- a/packages/wire/src/lib/tcp-peer-network.ts
+++ b/packages/wire/src/lib/tcp-peer-network.ts
@@ -4,6 +4,7 @@
  * when both dial, the one dialed by the smaller instance id is kept.
  */
 import type {Result} from '@fireflytrack/result';
+import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
@@ -276,7 +277,8 @@
       try {
         handler(from, payload);
       } catch (error) {
-        const fields = {peer: from.instanceId, kind, message: String(error)};
+        const message = toLogText(String(error));
+        const fields = {peer: from.instanceId, kind, message};
         this.options.logger.warn('message handler failed', fields);
       }
     }
@@ -294,7 +296,8 @@
       const payload = await handler(from, request.payload);
       this.sendFrame(from.instanceId, {...reply, payload});
     } catch (error) {
-      this.sendFrame(from.instanceId, {...reply, error: String(error)});
+      const text = toLogText(String(error));
+      this.sendFrame(from.instanceId, {...reply, error: text});
     }
   }
 
@@ -317,7 +320,7 @@
     const fields = {
       address,
       peer: peer?.identity.instanceId,
-      reason: error.message,
+      reason: toLogText(error.message),
     };
     if (error instanceof FrameError) {
       this.options.logger.warn('peer connection closed', fields);
