--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -89,6 +89,7 @@
       direct: sources.policyFeed,
       itemSchema: trafficPolicySchema,
       relayWaitMs: POLICY_RELAY_WAIT_MS,
+      logger,
     });
     this.policies = PolicyHolder.create({
       feed: policyFeed,
@@ -101,6 +102,7 @@
       direct: sources.serverFeed,
       itemSchema: discoveredServerSchema,
       relayWaitMs: store.servers_wait_ms,
+      logger,
     });
     const serverRelay = FeedRelay.create<DiscoveredServer>(
       {name: 'servers', maxAgeMs: RELAY_AGE_LIMIT_MS},
