Leave servers that say they leave out of the floor

The floor took servers that leave for servers in use, and readmitted them, though no request is sent to them: of 12 failing servers, 5 of which leave, 3 that leave stayed avoided and none of the 7 that stay.

Cause: the floor looked at all listed servers. Now it looks at those that don't leave; a server that pauses counts as before. The pauses in two tests are longer, so that they outlast a stall of the process; what they expect is the same.

Evidence: the new test of service-state_test failed before (0 instead of 2).

--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -155,21 +155,23 @@
 
   /**
    * Readmits avoided servers until the floor is met. The floor is a share of the
-   * servers that may be healthy: servers that also failed a trial don't count,
-   * unless too few others remain.
+   * servers that stay and may be healthy: servers that also failed a trial don't
+   * count, unless too few others remain.
    */
   private enforceFloor(): void {
     const nowMs = performance.now();
-    const avoided = this.records.filter(record => record.isAvoided(nowMs));
+    // A server that leaves takes nothing new, whether it is readmitted or not.
+    const staying = this.records.filter(({signals}) => !signals.isLeaving);
+    const avoided = staying.filter(record => record.isAvoided(nowMs));
     const failing = avoided.filter(record => record.isConfirmedFailing(nowMs));
     const suspected = avoided.filter(record => !failing.includes(record));
-    const possiblyHealthy = this.records.length - failing.length;
+    const possiblyHealthy = staying.length - failing.length;
     const maxSuspected = Math.max(
       1,
       Math.floor(possiblyHealthy * (1 - this.options.floorShare)),
     );
     this.readmitExcess(maxSuspected, suspected);
-    const maxAvoided = Math.floor(this.records.length * MAX_AVOIDED_SHARE);
+    const maxAvoided = Math.floor(staying.length * MAX_AVOIDED_SHARE);
     const kept = Math.min(suspected.length, maxSuspected);
     this.readmitExcess(Math.max(0, maxAvoided - kept), failing);
   }
--- a/packages/upstream/src/test/server-signals_test.ts
+++ b/packages/upstream/src/test/server-signals_test.ts
@@ -12,7 +12,7 @@
 
 const GOOD = 'Signature: good\r\n';
 const LEAVING = 'Server-Leaving: 1\r\n';
-const PAUSE_MS = 400;
+const PAUSE_MS = 1000;
 const PAUSE = `Retry-After: ${PAUSE_MS / 1000}\r\n`;
 const NOT_RUN = 'Not-Run: 1\r\n';
 const STREAMED_BYTES = 400_000;
@@ -306,7 +306,7 @@
       if (received(0) === 1) {
         await delay(60);
         goodScript(request);
-      } else refusing(PAUSE)(request);
+      } else refusing('Retry-After: 20\r\n')(request);
     });
     const slow = send();
     await delay(20);
--- a/packages/upstream/src/test/service-state_test.ts
+++ b/packages/upstream/src/test/service-state_test.ts
@@ -54,6 +54,18 @@
       .map(record => record.serverId);
   }
 
+  // Guards against a floor that is met by servers that take nothing new.
+  it('counts a server that pauses and none that leaves', () => {
+    for (const {signals} of state.records.slice(0, 5)) signals.isLeaving = true;
+    for (const {signals} of state.records.slice(5)) {
+      signals.pausedUntilMs = performance.now() + 1000;
+    }
+    for (const record of state.records)
+      state.recordFailure(record, 'fault', 'reset');
+    const staying = new Set(state.records.slice(5).map(r => r.serverId));
+    expect(avoided().filter(id => staying.has(id)).length).toEqual(2);
+  });
+
   it('keeps the floor when every server fails at the same time', () => {
     for (const record of state.records)
       state.recordFailure(record, 'fault', 'reset');
