Keep the longest pause that a server asked for

A refusal that asks for a short pause may arrive after one that asks for a long one, and each is meant for its whole time.

--- a/packages/upstream/src/lib/server-signals.ts
+++ b/packages/upstream/src/lib/server-signals.ts
@@ -145,13 +145,13 @@
     this.logger.info('server leaving', fields);
   }
 
-  /** The server's last word counts, whether it is longer or shorter. */
+  /** The later end counts, because each refusal is meant for its whole time. */
   private learnPause(
     server: ServerRun & {service: string},
     known: RunSignals,
     pauseMs: number,
   ): void {
-    const untilMs = performance.now() + pauseMs;
+    const untilMs = Math.max(known.pausedUntilMs, performance.now() + pauseMs);
     const isNews = Math.abs(untilMs - known.pausedUntilMs) > SAME_END_MS;
     known.pausedUntilMs = untilMs;
     if (!isNews) return;
