--- a/packages/gateway/src/lib/rejection.ts
+++ b/packages/gateway/src/lib/rejection.ts
@@ -23,6 +23,8 @@
   retryAfterMs?: number;
 }
 
+export const DEFAULT_RETRY_AFTER_MS = 500;
+
 export const REJECTION_STATUS: Record<RejectionCode, number> = {
   'bad-request': 400,
   'key-unknown': 401,
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -1,15 +1,14 @@
 /**
- * Handles one request of a caller: checks the policy's freshness, matches route
- * and team, reads the body, enforces the rate limit, sends the request to a
- * backend server and returns the response.
+ * Handles one request of a caller: admits it by the policy, reads the body,
+ * enforces the rate limit, sends the request to a backend server and returns the
+ * response.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {PolicyTable, TeamPolicy, TrafficRoute} from '@fireflytrack/policy';
+import type {TeamPolicy, TrafficRoute} from '@fireflytrack/policy';
 import type {RateLimitedLog} from '@fireflytrack/telemetry';
 import {INSTANCE_STOPS, endToEndHeaders} from '@fireflytrack/upstream';
 import type {
   AttemptReport,
-  HeaderNames,
   RequestBody,
   Upstream,
   UpstreamOutcome,
@@ -19,36 +18,20 @@
 import type {CallerConnections, OpenRequest} from './caller-connection.js';
 import {readRequestBody} from './caller-body.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import type {PolicyHolder} from './policy-holder.js';
+import {DEFAULT_RETRY_AFTER_MS} from './rejection.js';
 import type {Rejection} from './rejection.js';
+import {RequestAdmission} from './request-admission.js';
+import type {RequestAdmissionOptions} from './request-admission.js';
 import {sendUpstreamResponse, sendRejection} from './send-response.js';
 
-export interface RequestHandlerOptions {
+export interface RequestHandlerOptions extends RequestAdmissionOptions {
   connections: CallerConnections;
-  policies: PolicyHolder;
   upstream: Upstream;
   limiter: RateLimiter;
-  headerNames: HeaderNames;
-  /** Header that carries the team key. */
-  keyHeader: string;
-  /** Authentication scheme that precedes the key in its header. */
-  keyScheme: string;
-  /** Maximum age of the policy's confirmation for accepting a key. */
-  keyFreshnessMs: number;
-  /** Maximum age of the confirmation for denying an unknown route or key. */
-  denialFreshnessMs: number;
   metrics: GatewayMetrics;
   log: RateLimitedLog;
 }
 
-/** A request that passed the checks of the policy. */
-interface AdmittedRequest {
-  route: TrafficRoute;
-  team: TeamPolicy | undefined;
-  table: PolicyTable;
-  deadlineAtMs: number;
-}
-
 /** Data about a request for its log line. */
 interface RequestTrace {
   requestId: string;
@@ -62,14 +45,6 @@
   fingerprint?: string | undefined;
 }
 
-type Admission =
-  | {ok: true; value: AdmittedRequest}
-  | {ok: false; value: Rejection};
-
-// Longest wait of a request for a confirmation of the policy. A read of the
-// store normally takes about 20 ms.
-const FRESHNESS_WAIT_MS = 400;
-const DEFAULT_RETRY_AFTER_MS = 500;
 // Short, because the caller retries on a new connection, which the load balancer
 // sends to another instance.
 const STOPPING_RETRY_AFTER_MS = 50;
@@ -81,8 +56,11 @@
   /** Monotonic time at which a stop gives up open requests. */
   private givesUpAtMs: number | undefined;
   private refusing = false;
+  private readonly admission: RequestAdmission;
 
-  private constructor(private readonly options: RequestHandlerOptions) {}
+  private constructor(private readonly options: RequestHandlerOptions) {
+    this.admission = RequestAdmission.create(options);
+  }
 
   static create(options: RequestHandlerOptions): RequestHandler {
     return new RequestHandler(options);
@@ -170,7 +148,7 @@
     trace: RequestTrace,
   ): Promise<UpstreamOutcome | Rejection> {
     if (this.refusing) return createStopRejection();
-    const admission = await this.admit(request, trace.startedAtMs);
+    const admission = await this.admission.admit(request, trace.startedAtMs);
     if (!admission.ok) return admission.value;
     const {route, team, table, deadlineAtMs} = admission.value;
     trace.route = route;
@@ -244,91 +222,6 @@
     this.recordRejection(rejection, trace);
   }
 
-  private async admit(
-    request: IncomingMessage,
-    startedAtMs: number,
-  ): Promise<Admission> {
-    const {policies, denialFreshnessMs} = this.options;
-    const first = this.matchPolicy(request, startedAtMs);
-    if (first.ok) return this.requireFreshPolicy(request, startedAtMs, first);
-    const {code} = first.value;
-    if (code !== 'route-unknown' && code !== 'key-unknown') return first;
-    // A policy change that allows the request may still be in transit.
-    if (!(await policies.ensureFresh(denialFreshnessMs, FRESHNESS_WAIT_MS))) {
-      return rejectAsNotFresh(
-        'the request is not known here, and the policy is old',
-      );
-    }
-    return this.matchPolicy(request, startedAtMs);
-  }
-
-  /** Accepts a key only while the policy's confirmation is fresh enough. */
-  private async requireFreshPolicy(
-    request: IncomingMessage,
-    startedAtMs: number,
-    admission: Admission,
-  ): Promise<Admission> {
-    const {policies, keyFreshnessMs} = this.options;
-    if (!admission.ok || !admission.value.team) return admission;
-    if (policies.lease.ageMs() <= keyFreshnessMs) return admission;
-    if (await policies.ensureFresh(keyFreshnessMs, FRESHNESS_WAIT_MS)) {
-      return this.matchPolicy(request, startedAtMs);
-    }
-    return rejectAsNotFresh('the policy could not be confirmed in time');
-  }
-
-  private matchPolicy(
-    request: IncomingMessage,
-    startedAtMs: number,
-  ): Admission {
-    const {headerNames} = this.options;
-    const table = this.options.policies.current();
-    if (!table) return rejectAsNotFresh('no policy is known yet');
-    const {maxHeaderBytes} = table.policy.callerLimits;
-    if (countHeaderBytes(request) > maxHeaderBytes) {
-      return rejectAs('headers-too-large', 'headers over the limit');
-    }
-    const url = request.url ?? '';
-    if (!url.startsWith('/')) return rejectAs('bad-request', 'no path');
-    if (request.headers.host === undefined) {
-      return rejectAs('bad-request', 'the request has no host');
-    }
-    if (request.headers[headerNames.requestId] === undefined) {
-      return rejectAs('bad-request', 'the request has no id');
-    }
-    const route = table.matchRoute(parseHost(request), stripQuery(url));
-    if (!route) return rejectAs('route-unknown', 'no route matches');
-    const team = this.findTeam(request, table);
-    if (!team && table.needsKeys && !route.open) {
-      return rejectAs('key-unknown', 'no team holds the key');
-    }
-    const requestedMs = Number(request.headers[headerNames.deadlineMs]);
-    const waitMs =
-      requestedMs > 0
-        ? Math.min(requestedMs, route.timeoutMs)
-        : route.timeoutMs;
-    const deadlineAtMs = startedAtMs + waitMs;
-    const value = {
-      route,
-      team: route.open ? undefined : team,
-      table,
-      deadlineAtMs,
-    };
-    return {ok: true, value};
-  }
-
-  private findTeam(
-    request: IncomingMessage,
-    table: PolicyTable,
-  ): TeamPolicy | undefined {
-    const {keyHeader, keyScheme} = this.options;
-    const value = request.headers[keyHeader];
-    if (typeof value !== 'string') return undefined;
-    const prefix = `${keyScheme} `;
-    if (!value.toLowerCase().startsWith(prefix.toLowerCase())) return undefined;
-    return table.findTeamByKey(value.slice(prefix.length).trim());
-  }
-
   /** Takes one request of the team's rate; returns a rejection if refused. */
   private async checkRateLimit(
     team: TeamPolicy | undefined,
@@ -480,30 +373,3 @@
   const reason = 'the instance is about to stop';
   return {code: 'not-run', reason, retryAfterMs: STOPPING_RETRY_AFTER_MS};
 }
-
-function rejectAs(code: Rejection['code'], reason: string): Admission {
-  return {ok: false, value: {code, reason}};
-}
-
-function rejectAsNotFresh(reason: string): Admission {
-  const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
-  return {ok: false, value: {code: 'not-fresh', reason, retryAfterMs}};
-}
-
-function parseHost(request: IncomingMessage): string {
-  const host = request.headers.host ?? '';
-  return host.replace(/:\d+$/, '').toLowerCase();
-}
-
-function stripQuery(url: string): string {
-  const end = url.search(/[?#]/);
-  return end < 0 ? url : url.slice(0, end);
-}
-
-function countHeaderBytes(request: IncomingMessage): number {
-  // Two bytes each for the colon with its space and for the line end.
-  const LINE_OVERHEAD_BYTES = 4;
-  let bytes = (request.url ?? '').length;
-  for (const text of request.rawHeaders) bytes += text.length;
-  return bytes + (request.rawHeaders.length / 2) * LINE_OVERHEAD_BYTES;
-}
