Mind closed connections and grants when requests are given up

From the review, by reading: the record of a closed connection was created anew, so that the stop waited until its bound; the grant of a rate was not given back; and an exception after a complete response destroyed it.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -126,6 +126,7 @@
 
   /** Responds after an exception; the request may have run. */
   private respondToFault({response}: OpenRequest): void {
+    if (response.writableEnded) return;
     // A response that was begun must not look complete.
     if (response.headersSent) response.destroy();
     const reason = 'internal fault';
@@ -176,8 +177,10 @@
     openRequest.phase = 'rate-limit';
     const limited = await this.checkRateLimit(team);
     if (limited) return limited;
-    // The request was given up, or the decision to stop came after it.
-    if (this.hasGivenUp()) return createStopRejection();
+    if (this.hasGivenUp()) {
+      if (team) this.options.limiter.refund(team);
+      return createStopRejection();
+    }
     openRequest.phase = 'server';
     const outcome = await this.options.upstream.run({
       route: route.name,
@@ -215,8 +218,9 @@
   /** Rejects a request that no server was sent and will not be sent. */
   private rejectUnsent(openRequest: OpenRequest, trace: RequestTrace): void {
     const {response} = openRequest;
-    const {connections} = this.options;
-    connections.getOrCreate(response.req.socket).closeAfter(openRequest);
+    const {socket} = response.req;
+    if (socket.destroyed) return;
+    this.options.connections.getOrCreate(socket).closeAfter(openRequest);
     const rejection = createStopRejection();
     sendRejection(response, rejection);
     this.recordRejection(rejection, trace);
