Share the connections of callers, and hold responses until their turn

Cause 1: fireflytrackd let Node.js answer malformed requests and CONNECT while an earlier request was running, and counted pipelined requests for ever whose caller had left, since Node.js emits no close of a response that waits. The gateway had all of this in CallerConnection. Cause 2: Node.js stops reading a connection while more than 16 KiB of responses wait for an earlier one, so that the end of the connection was not seen.

Change: the new package callers holds CallerConnection and the HTTP server that both programs use. A response that is ready waits in CallerConnection for its turn, up to 1 MiB for each connection; the close of a waiting response is emitted with that of its connection.

--- a/packages/gateway/src/lib/caller-connection.ts
+++ b/packages/callers/src/lib/caller-connection.ts
@@ -44,6 +44,12 @@
 // that it can read the response: closing with unread bytes resets the connection.
 const MAX_DISCARD_MS = 500;
 const MAX_DISCARDED_BYTES = 8_388_608;
+// Node.js reads nothing from a connection while more than 16 KiB of responses
+// wait for an earlier one, and so doesn't notice that the caller has left.
+// Responses are therefore held here, within this bound for each connection.
+const MAX_HELD_BYTES = 1_048_576;
+// Added to each body for its head and for the request that is kept with it.
+const HELD_RESPONSE_BYTES = 4096;
 
 export class CallerConnection {
   /** Requests whose response has not been sent completely, in order. */
@@ -53,10 +59,11 @@
   /** Nothing more is written to the connection. */
   private ending = false;
   private lastActiveAtMs = performance.now();
+  private heldBytes = 0;
 
   private constructor(private readonly socket: Socket) {
     socket.once('end', () => this.abortOpenRequests());
-    socket.once('close', () => this.abortOpenRequests());
+    socket.once('close', () => this.closeOpenRequests());
     // Node.js calls it after the response that closes the connection.
     socket.destroySoon = () => this.end();
   }
@@ -100,6 +107,25 @@
     openRequest.response.shouldKeepAlive = false;
   }
 
+  /**
+   * Resolves when a response of `bodyBytes` should be written: at its turn, when
+   * the caller has left, or at once if the connection holds too much already.
+   */
+  async waitForTurn(
+    {response, abandoned}: OpenRequest,
+    bodyBytes: number,
+  ): Promise<void> {
+    const bytes = bodyBytes + HELD_RESPONSE_BYTES;
+    if (response.socket || abandoned.signal.aborted) return;
+    if (this.heldBytes + bytes > MAX_HELD_BYTES) return;
+    this.heldBytes += bytes;
+    await new Promise<void>(resolve => {
+      response.once('socket', () => resolve());
+      abandoned.signal.addEventListener('abort', () => resolve());
+    });
+    this.heldBytes -= bytes;
+  }
+
   /** Closes the connection if it has had no open request for `idleMs`. */
   closeIfIdle(idleMs: number): void {
     if (this.closing || this.openRequests.length > 0) return;
@@ -186,6 +212,14 @@
     this.lastActiveAtMs = performance.now();
   }
 
+  /** Node.js emits no `close` of a response that waits for an earlier one. */
+  private closeOpenRequests(): void {
+    this.abortOpenRequests();
+    for (const {response} of [...this.openRequests]) {
+      if (!response.socket) response.emit('close');
+    }
+  }
+
   private abortOpenRequests(): void {
     for (const openRequest of this.openRequests) openRequest.abandoned.abort();
   }
@@ -203,7 +237,7 @@
   {response, phase}: OpenRequest,
   precedingRequests: number,
 ): RequestPhase {
-  if (!response.headersSent) return phase;
+  if (phase !== 'response' && !response.headersSent) return phase;
   return precedingRequests > 0 ? 'earlier-response' : 'response';
 }
 
--- a/packages/entry/src/lib/call.ts
+++ b/packages/entry/src/lib/call.ts
@@ -3,16 +3,22 @@
 import type {Refusal} from './refusal.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-export interface Call {
+/** A request as it came on a caller's connection. */
+export interface ReceivedRequest {
   requestId: string;
+  request: IncomingMessage;
+  response: ServerResponse;
+  /** Aborted when the caller ends its connection. */
+  abandoned: AbortSignal;
+}
+
+export interface Call extends ReceivedRequest {
   route: Route;
   holder: KeyHolder;
   /** The team key as presented; it must not leave this process. */
   key: string;
   /** Path and query without the key. */
   target: string;
-  request: IncomingMessage;
-  response: ServerResponse;
   deadlineAtMs: number;
 }
 
--- a/packages/entry/src/lib/entry-gateway.ts
+++ b/packages/entry/src/lib/entry-gateway.ts
@@ -1,4 +1,6 @@
 /** The HTTP server for callers (moleculer-web). */
+import {CallerConnections, createCallerServer} from '@fireflytrack/callers';
+import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ServiceBroker} from 'moleculer';
@@ -14,6 +16,10 @@
 // disconnected, so that slow senders do not occupy connections.
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
+const HTTP_OPTIONS = {
+  headersTimeout: HEADERS_TIMEOUT_MS,
+  requestTimeout: REQUEST_TIMEOUT_MS,
+};
 
 interface NewestResponse {
   response: ServerResponse;
@@ -23,13 +29,14 @@
 
 interface GatewayService {
   server: Server;
+  httpHandler(request: IncomingMessage, response: ServerResponse): void;
 }
 
 export class EntryGateway {
-  private service: GatewayService | undefined;
   private stopping = false;
   /** The response to the newest request of each connection. */
   private readonly newestResponses = new WeakMap<Socket, NewestResponse>();
+  private readonly connections = CallerConnections.create();
 
   private constructor(private readonly requestPath: RequestPath) {}
 
@@ -40,9 +47,20 @@
     options: EntryGatewayOptions,
   ): EntryGateway {
     const gateway = new EntryGateway(requestPath);
-    const service = broker.createService({
+    const {connections} = gateway;
+    broker.createService({
       name: 'entry',
       mixins: [ApiGateway],
+      methods: {
+        createServer(this: GatewayService) {
+          const {httpHandler: handle} = this;
+          this.server = createCallerServer({
+            http: HTTP_OPTIONS,
+            connections,
+            handle,
+          });
+        },
+      },
       settings: {
         ip: options.host,
         port: options.port,
@@ -62,10 +80,6 @@
         ],
       },
     });
-    gateway.service = service as unknown as GatewayService;
-    const {server} = gateway.service;
-    server.headersTimeout = HEADERS_TIMEOUT_MS;
-    server.requestTimeout = REQUEST_TIMEOUT_MS;
     return gateway;
   }
 
@@ -91,7 +105,13 @@
       response.shouldKeepAlive = false;
     }
     this.newestResponses.set(socket, {response, keepsAlive});
-    await this.requestPath.handle(request, response);
+    const connection = this.connections.getOrCreate(socket);
+    const requestId = randomUUID();
+    const openRequest = connection.open(requestId, response);
+    if (!openRequest) return;
+    const abandoned = openRequest.abandoned.signal;
+    await this.requestPath.handle({requestId, request, response, abandoned});
+    connection.discardRest(request, response);
   }
 }
 
--- a/packages/entry/src/lib/request-path.ts
+++ b/packages/entry/src/lib/request-path.ts
@@ -11,11 +11,10 @@
 import type {TeamLimiter} from '@fireflytrack/limits';
 import type {DispatchOutcome, OnceRegistry} from '@fireflytrack/once';
 import type {Logger, Metrics} from '@fireflytrack/telemetry';
-import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Attempts} from './attempts.js';
 import type {AttemptsOptions} from './attempts.js';
-import type {Call, CallResult} from './call.js';
+import type {Call, CallResult, ReceivedRequest} from './call.js';
 import {findCallerKey, targetWithoutKey} from './caller-key.js';
 import {buildForwardRequest, computeRequestDigest} from './forward-request.js';
 import type {Forwarder, ForwardRequest} from './forwarder.js';
@@ -84,15 +83,12 @@
   }
 
   /** Handles one request; the promise never rejects. */
-  async handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async handle(received: ReceivedRequest): Promise<void> {
+    const {requestId, response} = received;
     this.inFlight += 1;
     response.once('close', () => (this.inFlight -= 1));
-    const requestId = randomUUID();
     try {
-      const refusal = await this.handleRequest(requestId, request, response);
+      const refusal = await this.handleRequest(received);
       if (refusal) this.sendAndRecordRefusal(requestId, response, refusal);
     } catch (error) {
       const message = String(error);
@@ -107,11 +103,8 @@
     }
   }
 
-  private async handleRequest(
-    requestId: string,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<CallResult> {
+  private async handleRequest(received: ReceivedRequest): Promise<CallResult> {
+    const {request} = received;
     const gateRefusal = this.checkServingGate();
     if (gateRefusal) return gateRefusal;
     const parsed = parseTarget(request.url ?? '');
@@ -142,13 +135,11 @@
       return {code: 'rate_exceeded', message, retryAfterMs};
     }
     const call: Call = {
-      requestId,
+      ...received,
       route,
       holder: {teamName, keyId},
       key: presentedKey.val,
       target: target.val,
-      request,
-      response,
       deadlineAtMs:
         performance.now() + computeDeadlineMs(route.deadlineMs, request),
     };
@@ -188,7 +179,9 @@
     attempts: Attempts,
   ): Promise<CallResult> {
     // When the caller disconnects, the backend server's slot is freed.
-    call.response.once('close', () => attempts.cancelAll());
+    const {abandoned} = call;
+    if (abandoned.aborted) attempts.cancelAll();
+    abandoned.addEventListener('abort', () => attempts.cancelAll());
     const slot = await this.enterQueue(call);
     if ('code' in slot) return slot;
     const result = await attempts.runIdempotent();
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -1,4 +1,5 @@
 /** One gateway process: builds its components and runs them until stopped. */
+import {CallerConnections} from '@fireflytrack/callers';
 import {FeedFollower, ServerCatalog} from '@fireflytrack/discovery';
 import {discoveredServerSchema} from '@fireflytrack/discovery';
 import type {ChangeFeed, DiscoveredServer} from '@fireflytrack/discovery';
@@ -19,7 +20,6 @@
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
 import {readClocks} from '@fireflytrack/time';
-import {CallerConnections} from './caller-connection.js';
 import {CallerServer} from './caller-server.js';
 import {FreshnessLease} from './freshness-lease.js';
 import {GracefulStop} from './graceful-stop.js';
--- a/packages/gateway/src/lib/graceful-stop.ts
+++ b/packages/gateway/src/lib/graceful-stop.ts
@@ -7,9 +7,9 @@
  * requests are refused. Shortly before the time limit, the requests that are
  * still open are given up and answered.
  */
+import type {CallerConnections} from '@fireflytrack/callers';
 import {sleep} from '@fireflytrack/time';
 import type {Logger} from '@fireflytrack/telemetry';
-import type {CallerConnections} from './caller-connection.js';
 import type {CallerServer} from './caller-server.js';
 import type {RequestHandler} from './request-handler.js';
 
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -4,6 +4,11 @@
  * response.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  CallerConnection,
+  CallerConnections,
+  OpenRequest,
+} from '@fireflytrack/callers';
 import type {TeamPolicy, TrafficRoute} from '@fireflytrack/policy';
 import type {RateLimitedLog} from '@fireflytrack/telemetry';
 import {INSTANCE_STOPS, endToEndHeaders} from '@fireflytrack/upstream';
@@ -15,7 +20,6 @@
   UpstreamRequest,
 } from '@fireflytrack/upstream';
 import type {RateLimiter} from '@fireflytrack/zone';
-import type {CallerConnections, OpenRequest} from './caller-connection.js';
 import {readRequestBody} from './caller-body.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {DEFAULT_RETRY_AFTER_MS} from './rejection.js';
@@ -110,7 +114,12 @@
     try {
       const outcome = await this.serve(request, openRequest, trace);
       openRequest.phase = 'response';
-      if (this.givesUpAtMs !== undefined) connection.closeAfter(openRequest);
+      this.closeIfStopping(connection, openRequest);
+      const heldBytes = countBufferedBytes(outcome);
+      if (heldBytes !== undefined) {
+        await connection.waitForTurn(openRequest, heldBytes);
+        this.closeIfStopping(connection, openRequest);
+      }
       await this.respond(openRequest, outcome, trace);
     } catch (error) {
       const reason = String(error);
@@ -124,6 +133,13 @@
     }
   }
 
+  private closeIfStopping(
+    connection: CallerConnection,
+    openRequest: OpenRequest,
+  ): void {
+    if (this.givesUpAtMs !== undefined) connection.closeAfter(openRequest);
+  }
+
   /** Responds after an exception; the request may have run. */
   private respondToFault({response}: OpenRequest): void {
     if (response.writableEnded) return;
@@ -368,6 +384,15 @@
   }
 }
 
+/** Size of a body in memory; undefined for a streamed one, which waits itself. */
+function countBufferedBytes(
+  outcome: UpstreamOutcome | Rejection,
+): number | undefined {
+  if ('code' in outcome || outcome.kind !== 'answered') return 0;
+  const {response} = outcome;
+  return response.kind === 'buffered' ? response.body.length : undefined;
+}
+
 /** Stops reading for a server, so that the rest of the body can be skipped. */
 function discardBody(body: RequestBody): void {
   if (body.kind === 'stream') body.stream.destroy();
--- a/packages/gateway/src/lib/send-response.ts
+++ b/packages/gateway/src/lib/send-response.ts
@@ -63,6 +63,7 @@
       return;
     }
     const onAbandoned = () => body.destroy();
+    if (abandoned.aborted) onAbandoned();
     const end = () => {
       response.off('socket', end);
       body.off('close', end);
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -3,6 +3,7 @@
  * The test runner traces each asynchronous operation of its own process, which
  * takes more memory than the entry.
  */
+import {CallerConnections} from '@fireflytrack/callers';
 import {PolicyTable, parsePolicyText} from '@fireflytrack/policy';
 import {RateLimitedLog, createLogger} from '@fireflytrack/telemetry';
 import type {RunOptions, UpstreamOutcome} from '@fireflytrack/upstream';
@@ -10,7 +11,6 @@
 import moleculer from 'moleculer';
 import {addAbortSignal} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
-import {CallerConnections} from '../lib/caller-connection.js';
 import {CallerServer} from '../lib/caller-server.js';
 import {GatewayMetrics} from '../lib/gateway-metrics.js';
 import type {PolicyHolder} from '../lib/policy-holder.js';
