Leave small chunks of a body to later turns of the event loop

Cause: Node.js parses up to 32 reads of one connection in one iteration of the event loop. In chunks of 8 bytes that is more than 100,000 callbacks, which delay every other request of the instance.

Change: the reader of a caller's body pauses after 1,024 chunks until the next iteration.

--- a/packages/gateway/src/lib/caller-body.ts
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -11,6 +11,9 @@
 
 // Bodies up to this size can be resent to another server in a retry.
 const MAX_BUFFERED_BYTES = 1_048_576;
+// Node.js may parse megabytes of one connection in one iteration of the event
+// loop. Each chunk costs the same, however small, and delays all other requests.
+const MAX_CHUNKS_PER_TURN = 1024;
 
 /**
  * Reads the body, up to `deadlineAtMs` on the monotonic clock.
@@ -43,6 +46,10 @@
   private readonly buffered = BodyBuffer.create();
   private stream: BodyStream | undefined;
   private bytes = 0;
+  /** Chunks since the event loop had its last turn for other work. */
+  private chunksInTurn = 0;
+  private isPausedByReader = false;
+  private isDetached = false;
   private readonly onData = (chunk: Buffer) => this.append(chunk);
   private readonly onEnd = () => this.finish();
   private readonly onClosed = () => this.abandon();
@@ -79,6 +86,8 @@
 
   private append(chunk: Buffer): void {
     this.bytes += chunk.length;
+    this.chunksInTurn += 1;
+    if (this.chunksInTurn === MAX_CHUNKS_PER_TURN) this.yieldTurn();
     if (this.stream) {
       if (this.bytes <= this.maxBytes) this.stream.append(chunk);
       else this.stream.destroy(new Error('body over the limit'));
@@ -92,8 +101,14 @@
   private startStream(): void {
     const {request} = this;
     const stream = BodyStream.create({
-      pause: () => request.pause(),
-      resume: () => request.resume(),
+      pause: () => {
+        this.isPausedByReader = true;
+        request.pause();
+      },
+      resume: () => {
+        this.isPausedByReader = false;
+        this.resume();
+      },
       close: () => this.detach(),
     });
     // Keeps an error before the first read from ending the process. The reader
@@ -104,6 +119,21 @@
     this.resolve({kind: 'read', body: {kind: 'stream', stream}});
   }
 
+  /** Continues in the next iteration of the event loop. */
+  private yieldTurn(): void {
+    this.request.pause();
+    setImmediate(() => {
+      this.chunksInTurn = 0;
+      this.resume();
+    });
+  }
+
+  private resume(): void {
+    const isTurnOver = this.chunksInTurn >= MAX_CHUNKS_PER_TURN;
+    if (this.isDetached || this.isPausedByReader || isTurnOver) return;
+    this.request.resume();
+  }
+
   private finish(): void {
     if (this.stream) {
       this.detach();
@@ -128,6 +158,7 @@
 
   private detach(): void {
     const {request} = this;
+    this.isDetached = true;
     request.off('data', this.onData);
     request.off('end', this.onEnd);
     request.off('error', this.onClosed);
--- a/packages/gateway/src/test/caller-body_test.ts
+++ b/packages/gateway/src/test/caller-body_test.ts
@@ -93,4 +93,28 @@
     });
     expect(read).toEqual('the body is incomplete');
   });
+
+  // Megabytes of small chunks in one iteration of the event loop delay all other
+  // requests.
+  it('lets the event loop continue among many small chunks', async () => {
+    const CHUNKS = 20_000;
+    const request = fakeRequest({'transfer-encoding': 'chunked'});
+    let turns = 0;
+    let isRead = false;
+    const countTurn = () => {
+      turns += 1;
+      if (!isRead) setImmediate(countTurn);
+    };
+    setImmediate(countTurn);
+    const reading = readRequestBody(
+      request,
+      CHUNKS,
+      performance.now() + 2000,
+    ).finally(() => (isRead = true));
+    for (let count = 0; count < CHUNKS; count += 1) request.push('x');
+    request.push(null);
+    const read = await reading;
+    expect(read.kind === 'read' && read.body.kind).toEqual('buffered');
+    expect(turns > 10).toEqual(true);
+  });
 });
