Take a configuration without its invalid parts

In the other direction, a configuration that could not be read at all left the one before it confirmed for ever, with keys that the new one may have withdrawn.

Change: each route, service, team and limit is parsed alone, and policy-parts decides what an invalid one costs. Its route and keys are refused with 503 and are not passed to a shorter route or called unknown; unknown kinds are one-time work that is sent once; limits that cannot be read have fallbacks. A configuration that is invalid as a whole is not taken, the last one stays in force, but the store no longer confirms it, so that keys are refused after `revocation_ms`. One log line, two metrics and the state dump name the parts.

--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -9,6 +9,8 @@
 export interface GaugeReaders {
   requestsInFlight(): number;
   policyVersion(): number;
+  policyNotices(): number;
+  isPolicyUnreadable(): boolean;
   policyAgeSeconds(): number;
   servers(): number;
   serverBeliefs(): ServerBeliefs;
@@ -51,6 +53,16 @@
     const gauges: [string, string, () => number][] = [
       ['requests_in_flight', 'Open requests.', readers.requestsInFlight],
       ['policy_version', 'Policy in force.', readers.policyVersion],
+      [
+        'policy_notices',
+        'Parts of the policy that were left out or read cautiously.',
+        readers.policyNotices,
+      ],
+      [
+        'policy_unreadable',
+        "Whether the store's newest policy cannot be read.",
+        () => Number(readers.isPolicyUnreadable()),
+      ],
       [
         'policy_age_seconds',
         'Time since the policy was last confirmed.',
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -199,6 +199,8 @@
     const metrics = GatewayMetrics.create({
       requestsInFlight: () => this.requestHandler.requestsInFlight,
       policyVersion: () => this.policies.current()?.version ?? 0,
+      policyNotices: () => this.policies.current()?.policy.notices?.length ?? 0,
+      isPolicyUnreadable: () => this.policies.isUnreadable,
       policyAgeSeconds: () => this.policies.lease.ageMs() / MS_PER_SECOND,
       servers: () => this.catalog.allServers().length,
       serverBeliefs: () => this.upstream.countBeliefs(),
@@ -242,6 +244,8 @@
     this.dump.register('policy', () => ({
       version: this.policies.current()?.version,
       confirmedAgeMs: this.policies.lease.ageMs(),
+      newestIsUnreadable: this.policies.isUnreadable,
+      notices: this.policies.current()?.policy.notices ?? [],
     }));
   }
 
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -8,6 +8,7 @@
 import type {ChangeFeed, FeedPage} from '@fireflytrack/discovery';
 import {PolicyTable} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
+import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {FeedRelay} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
@@ -34,6 +35,10 @@
 // zone read the store themselves. Above the wait of the leader's own calls (1 s).
 export const RELAY_AGE_LIMIT_MS = 1400;
 
+// Bounds the log line about parts that are not taken.
+const MAX_LOGGED_NOTICES = 10;
+const MAX_NOTICE_CHARS = 200;
+
 export class PolicyHolder {
   readonly lease = FreshnessLease.create();
   /** Relays the policy to the other instances of the zone. */
@@ -90,6 +95,11 @@
     await this.options.reader.close();
   }
 
+  /** Whether the store's newest policy cannot be read. */
+  get isUnreadable(): boolean {
+    return this.store.isUnreadable;
+  }
+
   /** The policy in force; undefined before the first page. */
   current(): PolicyTable | undefined {
     return this.table;
@@ -131,6 +141,19 @@
     }
   }
 
+  private logNotices({version, notices = []}: TrafficPolicy): void {
+    if (notices.length === 0) return;
+    this.options.logger.warn('parts of the policy not taken', {
+      version,
+      count: notices.length,
+      parts: notices
+        .slice(0, MAX_LOGGED_NOTICES)
+        .map(({part, name, reason}) =>
+          toLogText(`${part} ${name}: ${reason}`, MAX_NOTICE_CHARS),
+        ),
+    });
+  }
+
   private applyIfNewer(policy: TrafficPolicy): void {
     const current = this.table?.version ?? -1;
     if (policy.version <= current) return;
@@ -141,5 +164,6 @@
       routes: policy.routes.length,
       teams: policy.teams?.length ?? 0,
     });
+    this.logNotices(policy);
   }
 }
--- a/packages/gateway/src/lib/request-admission.ts
+++ b/packages/gateway/src/lib/request-admission.ts
@@ -38,6 +38,9 @@
 // store normally takes about 20 ms.
 const FRESHNESS_WAIT_MS = 400;
 
+// An invalid part of the policy lasts until operators write the next one.
+const INVALID_RETRY_AFTER_MS = 5000;
+
 export class RequestAdmission {
   private constructor(private readonly options: RequestAdmissionOptions) {}
 
@@ -101,9 +104,17 @@
     if (request.headers[headerNames.requestId] === undefined) {
       return rejectAs('bad-request', 'the request has no id');
     }
-    const route = table.matchRoute(parseHost(request), stripQuery(url));
-    if (!route) return rejectAs('route-unknown', 'no route matches');
-    const team = this.findTeam(request, table);
+    const match = table.matchRoute(parseHost(request), stripQuery(url));
+    if (!match) return rejectAs('route-unknown', 'no route matches');
+    if (match.kind === 'refused') {
+      return rejectInvalid(`the route ${match.route.name} is not valid`);
+    }
+    const {route} = match;
+    const key = this.readKey(request);
+    if (key !== undefined && !route.open && table.isRefusedKey(key)) {
+      return rejectInvalid('the team of the key is not valid');
+    }
+    const team = key === undefined ? undefined : table.findTeamByKey(key);
     if (!team && table.needsKeys && !route.open) {
       return rejectAs('key-unknown', 'no team holds the key');
     }
@@ -122,16 +133,13 @@
     return {ok: true, value};
   }
 
-  private findTeam(
-    request: IncomingMessage,
-    table: PolicyTable,
-  ): TeamPolicy | undefined {
+  private readKey(request: IncomingMessage): string | undefined {
     const {keyHeader, keyScheme} = this.options;
     const value = request.headers[keyHeader];
     if (typeof value !== 'string') return undefined;
     const prefix = `${keyScheme} `;
     if (!value.toLowerCase().startsWith(prefix.toLowerCase())) return undefined;
-    return table.findTeamByKey(value.slice(prefix.length).trim());
+    return value.slice(prefix.length).trim();
   }
 }
 
@@ -139,6 +147,12 @@
   return {ok: false, value: {code, reason}};
 }
 
+/** Refuses what an invalid part of the policy would have decided. */
+function rejectInvalid(reason: string): Admission {
+  const retryAfterMs = INVALID_RETRY_AFTER_MS;
+  return {ok: false, value: {code: 'not-run', reason, retryAfterMs}};
+}
+
 function rejectAsNotFresh(reason: string): Admission {
   const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
   return {ok: false, value: {code: 'not-fresh', reason, retryAfterMs}};
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -197,10 +197,15 @@
       if (team) this.options.limiter.refund(team);
       return createStopRejection();
     }
+    const service = table.chooseService(route);
+    if (!table.findService(service)) {
+      if (team) this.options.limiter.refund(team);
+      return createUndefinedServiceRejection(service);
+    }
     openRequest.phase = 'server';
     const outcome = await this.options.upstream.run({
       route: route.name,
-      service: table.chooseService(route),
+      service,
       request: this.toUpstreamRequest(request, read.body),
       team: team?.name,
       rank: team?.rank ?? route.rank,
@@ -398,6 +403,11 @@
   if (body.kind === 'stream') body.stream.destroy();
 }
 
+function createUndefinedServiceRejection(service: string): Rejection {
+  const reason = `the policy does not define the service ${service}`;
+  return {code: 'not-run', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS};
+}
+
 function createStopRejection(): Rejection {
   const reason = 'the instance is about to stop';
   return {code: 'not-run', reason, retryAfterMs: STOPPING_RETRY_AFTER_MS};
--- a/packages/gateway/src/lib/store-progress.ts
+++ b/packages/gateway/src/lib/store-progress.ts
@@ -5,6 +5,9 @@
  * write them again. Until then it cannot confirm that nothing newer exists: a key
  * may have been withdrawn in the part that is lost. An instance that has just
  * started cannot see that the store was restored, and asks a zone leader first.
+ *
+ * A policy that cannot be read may withdraw keys as well: the one before it stays
+ * in force, but is not confirmed any more.
  */
 import type {FeedPage} from '@fireflytrack/discovery';
 import type {TrafficPolicy} from '@fireflytrack/policy';
@@ -21,6 +24,7 @@
   private lostVersion: number | undefined;
   /** Until when the store may lack policies that this instance has not seen. */
   private incompleteUntilMs = 0;
+  private isNewestUnreadable = false;
   private leaderWaitUntilMs = performance.now() + MAX_LEADER_WAIT_MS;
 
   static create(): StoreProgress {
@@ -45,14 +49,22 @@
       this.lostVersion = knownVersion;
     }
     this.era = Math.max(era, this.era ?? 0);
-    const stored = page.rows.at(-1)?.item?.version ?? -1;
+    const newest = page.rows.at(-1);
+    if (newest) this.isNewestUnreadable = !newest.item;
+    const stored = newest?.item?.version ?? -1;
     if (stored >= (this.lostVersion ?? Infinity)) this.lostVersion = undefined;
   }
 
+  /** Whether the store's newest policy cannot be read. */
+  get isUnreadable(): boolean {
+    return this.isNewestUnreadable;
+  }
+
   /** Whether pages of the store confirm that no newer policy exists. */
   get isComplete(): boolean {
     return (
       !this.awaitsLeader &&
+      !this.isNewestUnreadable &&
       this.lostVersion === undefined &&
       performance.now() >= this.incompleteUntilMs
     );
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -91,6 +91,8 @@
     metrics: GatewayMetrics.create({
       requestsInFlight: () => 0,
       policyVersion: () => 1,
+      policyNotices: () => 0,
+      isPolicyUnreadable: () => false,
       policyAgeSeconds: () => 0,
       servers: () => 1,
       serverBeliefs: () => ({
--- a/packages/policy/src/lib/policy-table.ts
+++ b/packages/policy/src/lib/policy-table.ts
@@ -5,15 +5,22 @@
 import {digestKey} from './key-digest.js';
 import {SplitChooser} from './split-chooser.js';
 import type {
+  RefusedRoute,
   ServicePolicy,
   TeamPolicy,
   TrafficPolicy,
   TrafficRoute,
 } from './traffic-policy.js';
 
+export type RouteMatch =
+  | {kind: 'served'; route: TrafficRoute}
+  /** Its requests are refused, because the route could not be read. */
+  | {kind: 'refused'; route: RefusedRoute};
+
 export class PolicyTable {
-  private readonly routesByHost = new Map<string, Map<string, TrafficRoute>>();
+  private readonly routesByHost = new Map<string, Map<string, RouteMatch>>();
   private readonly teamsByDigest = new Map<string, TeamPolicy>();
+  private readonly refusedKeyDigests: ReadonlySet<string>;
   private readonly teamsByName = new Map<string, TeamPolicy>();
   private readonly servicesByName = new Map<string, ServicePolicy>();
   private readonly choosers = new Map<string, SplitChooser>();
@@ -23,11 +30,13 @@
     previous: PolicyTable | undefined,
   ) {
     for (const route of policy.routes) {
-      const byPrefix = this.routesByHost.get(route.host) ?? new Map();
-      byPrefix.set(route.prefix, route);
-      this.routesByHost.set(route.host, byPrefix);
+      this.addMatch(route.host, route.prefix, {kind: 'served', route});
       if (route.parts.length > 1) this.addChooser(route, previous);
     }
+    for (const route of policy.refusedRoutes ?? []) {
+      this.addMatch(route.host, route.prefix, {kind: 'refused', route});
+    }
+    this.refusedKeyDigests = new Set(policy.refusedKeyDigests);
     for (const team of policy.teams ?? []) {
       this.teamsByName.set(team.name, team);
       for (const digest of team.keyDigests)
@@ -53,13 +62,13 @@
   }
 
   /** Returns the route of `host` whose prefix is the longest match of `path`. */
-  matchRoute(host: string, path: string): TrafficRoute | undefined {
+  matchRoute(host: string, path: string): RouteMatch | undefined {
     const byPrefix = this.routesByHost.get(host);
     if (!byPrefix) return undefined;
     let end = path.lastIndexOf('/');
     while (end >= 0) {
-      const route = byPrefix.get(path.slice(0, end + 1));
-      if (route) return route;
+      const match = byPrefix.get(path.slice(0, end + 1));
+      if (match) return match;
       end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
     }
     return undefined;
@@ -70,6 +79,14 @@
     return this.teamsByDigest.get(digestKey(key));
   }
 
+  /** Whether the team of `key` could not be read. */
+  isRefusedKey(key: string): boolean {
+    return (
+      this.refusedKeyDigests.size > 0 &&
+      this.refusedKeyDigests.has(digestKey(key))
+    );
+  }
+
   findTeam(name: string): TeamPolicy | undefined {
     return this.teamsByName.get(name);
   }
@@ -84,6 +101,12 @@
     return chooser ? chooser.next() : route.parts[0]!.service;
   }
 
+  private addMatch(host: string, prefix: string, match: RouteMatch): void {
+    const byPrefix = this.routesByHost.get(host) ?? new Map();
+    byPrefix.set(prefix, match);
+    this.routesByHost.set(host, byPrefix);
+  }
+
   private addChooser(
     route: TrafficRoute,
     previous: PolicyTable | undefined,
--- a/packages/policy/src/lib/policy-text.ts
+++ b/packages/policy/src/lib/policy-text.ts
@@ -7,7 +7,7 @@
 import {Err, Ok} from '@fireflytrack/result';
 import type {Result} from '@fireflytrack/result';
 import {z} from 'zod';
-import {trafficPolicySchema} from './traffic-policy.js';
+import {completePolicySchema} from './traffic-policy.js';
 import type {TrafficPolicy} from './traffic-policy.js';
 
 const number = z.coerce.number();
@@ -73,7 +73,7 @@
   const document = parseIni(text, file);
   if (document.err) return document;
   try {
-    const policy = trafficPolicySchema.safeParse(buildPolicy(document.val));
+    const policy = completePolicySchema.safeParse(buildPolicy(document.val));
     if (policy.success) return Ok(policy.data);
     const issue = policy.error.issues[0];
     const [section = '', index, key = ''] = (issue?.path ?? []).map(String);
@@ -87,7 +87,7 @@
   }
 }
 
-/** Converts the sections to the input of `trafficPolicySchema`. */
+/** Converts the sections to the input of `completePolicySchema`. */
 function buildPolicy(document: ReadonlyMap<string, IniSection>): unknown {
   const limits = readSection(document, 'limits', limitsSchema);
   const routes: unknown[] = [];
--- a/packages/policy/src/lib/traffic-policy.ts
+++ b/packages/policy/src/lib/traffic-policy.ts
@@ -72,6 +72,23 @@
 });
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 
+/** A route that is not served, because it could not be read. */
+export const refusedRouteSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  reason: z.string(),
+});
+export type RefusedRoute = z.infer<typeof refusedRouteSchema>;
+
+/** A part of a policy that was left out or read cautiously. */
+export const policyNoticeSchema = z.object({
+  part: z.enum(['route', 'service', 'team', 'limit', 'other']),
+  name: z.string(),
+  reason: z.string(),
+});
+export type PolicyNotice = z.infer<typeof policyNoticeSchema>;
+
 export const trafficPolicySchema = z
   .object({
     /** Increases with each change; a process never returns to an older one. */
@@ -81,16 +98,13 @@
     /** Absent when callers need no key. */
     teams: z.array(teamPolicySchema).optional(),
     callerLimits: callerLimitsSchema,
+    /** Requests that match one of them are refused. */
+    refusedRoutes: z.array(refusedRouteSchema).optional(),
+    /** Keys whose team could not be read; requests with them are refused. */
+    refusedKeyDigests: z.array(z.string()).optional(),
+    notices: z.array(policyNoticeSchema).optional(),
   })
   .superRefine((policy, context) => {
-    const services = new Set(policy.services.map(service => service.name));
-    for (const route of policy.routes) {
-      for (const {service} of route.parts) {
-        if (services.has(service)) continue;
-        const message = `route ${route.name} names the unknown service ${service}`;
-        context.addIssue({code: 'custom', message, path: ['routes']});
-      }
-    }
     const teamByDigest = new Map<string, string>();
     for (const team of policy.teams ?? []) {
       for (const digest of team.keyDigests) {
@@ -103,3 +117,17 @@
     }
   });
 export type TrafficPolicy = z.infer<typeof trafficPolicySchema>;
+
+/** A policy that its operators wrote here: each route names known services. */
+export const completePolicySchema = trafficPolicySchema.superRefine(
+  (policy, context) => {
+    const services = new Set(policy.services.map(service => service.name));
+    for (const route of policy.routes) {
+      for (const {service} of route.parts) {
+        if (services.has(service)) continue;
+        const message = `route ${route.name} names the unknown service ${service}`;
+        context.addIssue({code: 'custom', message, path: ['routes']});
+      }
+    }
+  },
+);
--- a/packages/policy/src/test/policy-table_test.ts
+++ b/packages/policy/src/test/policy-table_test.ts
@@ -4,7 +4,10 @@
 import {digestKey} from '../lib/key-digest.js';
 import {PolicyTable} from '../lib/policy-table.js';
 import {SplitChooser} from '../lib/split-chooser.js';
-import {trafficPolicySchema} from '../lib/traffic-policy.js';
+import {
+  completePolicySchema,
+  trafficPolicySchema,
+} from '../lib/traffic-policy.js';
 import type {TrafficPolicy} from '../lib/traffic-policy.js';
 
 function policyWith(change: Partial<TrafficPolicy> = {}): TrafficPolicy {
@@ -54,7 +57,7 @@
 
   it('matches the longest prefix of the path', () => {
     const match = (path: string) =>
-      table.matchRoute('shop.example', path)?.name;
+      table.matchRoute('shop.example', path)?.route.name;
     expect(match('/x')).toEqual('root');
     expect(match('/a/x')).toEqual('a');
     expect(match('/a/b/x')).toEqual('b');
@@ -74,10 +77,11 @@
 
   it('rejects routes to unknown services and keys shared by two teams', () => {
     const unknown = policyWith({routes: [routeTo('/', 'missing')]});
-    expect(trafficPolicySchema.safeParse(unknown).success).toEqual(false);
+    expect(completePolicySchema.safeParse(unknown).success).toEqual(false);
     const team = policyWith().teams![0]!;
     const shared = policyWith({teams: [team, {...team, name: 'south'}]});
     expect(trafficPolicySchema.safeParse(shared).success).toEqual(false);
+    expect(completePolicySchema.safeParse(shared).success).toEqual(false);
     expect(trafficPolicySchema.safeParse(policyWith()).success).toEqual(true);
   });
 
