Count the calls to the store by their caller

Each call is counted by its caller, as the metric fireflytrack_store_calls_total and in the state dump.

--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -21,6 +21,7 @@
   requestSuspects(): {suspected: number; held: number};
   heldBack(): number;
   isZoneLeader(): boolean;
+  storeCalls(): ReadonlyMap<string, number>;
 }
 
 // Covers the latency objectives of the services, which are 1 to 5 seconds.
@@ -126,6 +127,18 @@
         this.set({belief: 'trusted'}, trusted);
       },
     });
+    new Counter({
+      name: 'fireflytrack_store_calls_total',
+      help: 'Calls to the store by caller.',
+      labelNames: ['caller'] as const,
+      registers,
+      collect() {
+        this.reset();
+        for (const [caller, count] of readers.storeCalls()) {
+          this.inc({caller}, count);
+        }
+      },
+    });
     const counters: [string, string, () => number][] = [
       [
         'servers_readmitted_total',
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -37,6 +37,8 @@
   serverFeed: ChangeFeed<DiscoveredServer>;
   /** Table with the rows by which the instances discover each other. */
   fleetTable: TableService;
+  /** Calls to the store since the start, by caller. */
+  storeCalls(): ReadonlyMap<string, number>;
 }
 
 // Longest wait of a relayed policy call. It is short so that a request with an
@@ -211,6 +213,7 @@
       requestSuspects: () => suspects.count(),
       heldBack: () => this.upstream.heldBack,
       isZoneLeader: () => this.zone.isLeader,
+      storeCalls: () => sources.storeCalls(),
     });
     this.requestHandler = RequestHandler.create({
       connections: this.connections,
@@ -241,6 +244,9 @@
     this.dump.register('server limits', () => this.limits.list());
     this.dump.register('suspected requests', () => suspects.dumpState());
     this.dump.register('zone', () => this.zone.state());
+    this.dump.register('store calls', () =>
+      Object.fromEntries(sources.storeCalls()),
+    );
     this.dump.register('policy', () => ({
       version: this.policies.current()?.version,
       confirmedAgeMs: this.policies.lease.ageMs(),
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -108,6 +108,7 @@
       requestSuspects: () => ({suspected: 0, held: 0}),
       heldBack: () => 0,
       isZoneLeader: () => false,
+      storeCalls: () => new Map(),
     }),
     log: RateLimitedLog.create({logger, linesPerSecond: 5}),
   } as unknown as RequestHandlerOptions;
