Let one leader read the store for the whole fleet

Change: leaders read both feeds from the leader of the first zone by name, which alone reads the store; each falls back to the store as members do. A relay answers when its own feed was confirmed, and says how long it held the request, so that ages don't add up; a relayed leader may be 200 ms older. The first read of a feed waits up to 600 ms for a leader. At the first start of a fleet instances join one after the other, larger ones first; an instance that is smaller than the last leader waits 300 ms for a larger one. The first turn of the election uses the rows that the join has read.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -41,9 +41,16 @@
   storeCalls(): ReadonlyMap<string, number>;
 }
 
-// Longest wait of a relayed policy call. It is short so that a request with an
-// unknown key or route rarely needs a direct read.
-const POLICY_RELAY_WAIT_MS = 600;
+// Longest wait of a relayed call. A leader responds earlier, when its own feed was
+// confirmed, which happens at the waits of [store].
+const RELAY_WAIT_MARGIN_MS = 100;
+// Longest wait of the first read of a feed for a leader.
+const LEADER_WAIT_MS = 600;
+// When the fleet starts for the first time, instances join one after the other,
+// the large ones first: they become leaders, and the others find them. Otherwise
+// all would write the same rows at the same time.
+const FIRST_START_SPREAD_MS = 300;
+const MAX_FIRST_START_SPREAD_MS = 1500;
 // Margin for instances that are starting or restarting, which are counted only
 // some seconds later.
 const INSTANCE_COUNT_MARGIN = 1.15;
@@ -84,13 +91,15 @@
     private readonly logger: Logger,
   ) {
     const {instance, entry, store, promises, log} = settings;
+    const startDelayMs = chooseStartDelayMs(settings);
     const linesPerSecond = log.lines_per_second;
     this.log = RateLimitedLog.create({logger, linesPerSecond});
     const policyFeed = RelayedFeed.create<TrafficPolicy>({
       name: 'policy',
       direct: sources.policyFeed,
       itemSchema: trafficPolicySchema,
-      relayWaitMs: POLICY_RELAY_WAIT_MS,
+      relayWaitMs: store.policy_wait_ms + RELAY_WAIT_MARGIN_MS,
+      startWaitMs: startDelayMs + LEADER_WAIT_MS,
       logger,
     });
     this.policies = PolicyHolder.create({
@@ -103,7 +112,8 @@
       name: 'servers',
       direct: sources.serverFeed,
       itemSchema: discoveredServerSchema,
-      relayWaitMs: store.servers_wait_ms,
+      relayWaitMs: store.servers_wait_ms + RELAY_WAIT_MARGIN_MS,
+      startWaitMs: startDelayMs + LEADER_WAIT_MS,
       logger,
     });
     const serverRelay = FeedRelay.create<DiscoveredServer>(
@@ -174,7 +184,9 @@
         region: instance.region,
         ...settings.peer.listen,
         instances: 1,
+        processorShare: instance.processor_share,
       },
+      startDelayMs,
       table: sources.fleetTable,
       rateBounds: {
         overrun: promises.rate_overrun,
@@ -373,3 +385,11 @@
     tracing: false,
   });
 }
+
+/** Spreads the joins of a fleet that starts for the first time. */
+function chooseStartDelayMs({instance}: GatewaySettings): number {
+  if (instance.first_start !== 'true') return 0;
+  const spreadMs = FIRST_START_SPREAD_MS / (instance.processor_share ?? 1);
+  const delayMs = Math.min(spreadMs, MAX_FIRST_START_SPREAD_MS);
+  return delayMs * (0.5 + Math.random());
+}
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -45,6 +45,10 @@
     zones: zoneRegions,
     /** Assumed number of instances until they have been counted. */
     max_instances: count,
+    /** Processor time of the machine for this process, in cores. */
+    processor_share: z.coerce.number().positive().optional(),
+    /** Whether the whole fleet starts for the first time. */
+    first_start: z.enum(['true', 'false']).default('false'),
   }),
   entry: z.strictObject({
     listen: address,
--- a/packages/zone/src/lib/feed-relay.ts
+++ b/packages/zone/src/lib/feed-relay.ts
@@ -1,6 +1,9 @@
 /**
- * Serves the changes of a feed to the other instances of a zone, so that only
- * the leader reads the table.
+ * Serves the changes of a feed to the other instances of a zone, and to leaders of
+ * other zones, so that one leader reads the table for all.
+ *
+ * A request is held until there are changes or the leader's own feed was confirmed
+ * again, so that ages do not add up from one instance to the next.
  *
  * Every instance stores the rows that it applied, because it may become leader
  * at any time. It serves requests only while it is the leader and its own feed
@@ -53,11 +56,14 @@
     revision: positionNumberSchema,
     /** Age of the confirmation when the response was created. */
     ageMs: z.number().min(MIN_AGE_MS).max(MAX_AGE_MS),
+    /** How long the leader held the request; absent from earlier builds. */
+    heldMs: z.number().nonnegative().max(MAX_WAIT_MS).optional(),
   }),
   z.object({kind: z.literal('history-gone')}),
 ]);
 export type RelayResponse = z.infer<typeof relayResponseSchema>;
 
+const RELAYED_AGE_MARGIN_MS = 200;
 // Removed rows are kept as tombstones for members that read changes; older
 // ones are rarely requested.
 const MAX_TOMBSTONES = 2000;
@@ -73,6 +79,7 @@
   /** All changes of the era after this revision are available. */
   private completeSince = Infinity;
   private readonly waiting = new Set<() => void>();
+  private election: Pick<ZoneElection, 'feedSource'> | undefined;
 
   private constructor(
     private readonly options: FeedRelayOptions,
@@ -90,8 +97,12 @@
     return `relay.${name}`;
   }
 
-  /** Starts serving requests from the members of the zone. */
-  serve(network: PeerNetwork, election: ZoneElection): void {
+  /** Starts serving requests. */
+  serve(
+    network: PeerNetwork,
+    election: Pick<ZoneElection, 'isLeader' | 'feedSource'>,
+  ): void {
+    this.election = election;
     const kind = FeedRelay.requestKind(this.options.name);
     network.onRequest(kind, (_from, payload) => {
       if (!election.isLeader) throw new Error('does not lead the zone');
@@ -110,10 +121,18 @@
     // a complete page.
     this.position = page.position;
     for (const {key, item} of page.rows) this.storeRow(key, item, revision);
-    if (page.rows.length === 0 && !complete) return;
     for (const wake of [...this.waiting]) wake();
   }
 
+  /**
+   * A leader that reads from another one needs a moment longer to notice that it
+   * has to read the table itself.
+   */
+  private get maxAgeMs(): number {
+    const isRelayed = this.election?.feedSource !== undefined;
+    return this.options.maxAgeMs + (isRelayed ? RELAYED_AGE_MARGIN_MS : 0);
+  }
+
   private storeRow(
     key: string,
     item: Item | undefined,
@@ -132,6 +151,7 @@
 
   private async createResponse(request: RelayRequest): Promise<RelayResponse> {
     const {after, waitMs} = request;
+    const receivedAtMs = performance.now();
     this.assertFresh(request);
     if (this.hasHistory(request) && !this.hasChanges(request)) {
       await this.waitForChange(waitMs);
@@ -142,13 +162,14 @@
     const {era} = this.position;
     // A member that already has a newer revision must not be set back.
     const revision = Math.max(this.position.revision, after ?? -1);
-    return {kind: 'page', rows, era, revision, ageMs: this.ageMs()};
+    const heldMs = performance.now() - receivedAtMs;
+    return {kind: 'page', rows, era, revision, ageMs: this.ageMs(), heldMs};
   }
 
   private assertFresh({era}: RelayRequest): void {
     const isKnown =
       this.position.revision >= 0 && (era ?? 0) <= this.position.era;
-    if (isKnown && this.ageMs() <= this.options.maxAgeMs) return;
+    if (isKnown && this.ageMs() <= this.maxAgeMs) return;
     throw new Error('the feed of this instance is out of date');
   }
 
--- a/packages/zone/src/lib/leader-row.ts
+++ b/packages/zone/src/lib/leader-row.ts
@@ -34,6 +34,8 @@
     .max(MAX_HOST_CHARS)
     .regex(/^[\w.:%-]+$/),
   port: z.number().int().min(1).max(MAX_PORT),
+  /** Processor time that the instance has, in cores; absent if unknown. */
+  processorShare: z.number().positive().optional().catch(undefined),
   /**
    * Number of instances in the zone as seen by the leader, including itself.
    */
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -1,6 +1,6 @@
 /**
- * A feed that is read from the zone leader while one is reachable, and directly
- * from the table otherwise. Both sources use the table's positions, so a reader
+ * A feed that is read from a leader while one is reachable, and directly from the
+ * table otherwise. Both sources use the table's positions, so a reader
  * can switch between them without reading all rows again.
  */
 import type {
@@ -14,6 +14,7 @@
 import type {Result} from '@fireflytrack/result';
 import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
+import {sleep} from '@fireflytrack/time';
 import type {PeerNetwork} from '@fireflytrack/wire';
 import type {z} from 'zod';
 import {FeedRelay, relayResponseSchema, relayRowSchema} from './feed-relay.js';
@@ -26,6 +27,11 @@
   itemSchema: z.ZodType<Item>;
   /** Longest time that the leader may hold a request open, in milliseconds. */
   relayWaitMs: number;
+  /**
+   * Longest wait of the first read for a leader to read from, in milliseconds. A
+   * fleet that starts would otherwise read the table once for each instance.
+   */
+  startWaitMs?: number;
   /** Gets a line for what a leader sends and is not taken. */
   logger?: Logger;
 }
@@ -38,6 +44,10 @@
   election: ZoneElection;
 }
 
+// Connecting to another region takes about 20 ms.
+const CONNECT_TIMEOUT_MS = 300;
+const START_POLL_MS = 10;
+
 // Added to the requested wait. A leader responds within milliseconds after it;
 // a slow leader must not delay changes for longer than the table would.
 const RELAY_TIMEOUT_MARGIN_MS = 400;
@@ -51,6 +61,8 @@
 export class RelayedFeed<Item> implements ChangeFeed<Item> {
   private access: RelayAccess | undefined;
   private readDirectUntilMs = 0;
+  private hasStarted = false;
+  private closed = false;
   /** Keys of rows that were not taken, until they are taken. */
   private readonly loggedRows = new Set<string | undefined>();
   private loggedPage = false;
@@ -67,6 +79,7 @@
   }
 
   async readAll(minEra: number): Promise<Result<FeedPage<Item>, FeedError>> {
+    await this.waitForLeader();
     const relayed = await this.requestFromLeader({era: minEra, waitMs: 0});
     return relayed ?? this.options.direct.readAll(minEra);
   }
@@ -85,16 +98,33 @@
   }
 
   close(): Promise<void> {
+    this.closed = true;
     return this.options.direct.close();
   }
 
+  /** Waits once for this instance to follow or become a leader. */
+  private async waitForLeader(): Promise<void> {
+    const waitMs = this.hasStarted ? 0 : (this.options.startWaitMs ?? 0);
+    this.hasStarted = true;
+    const giveUpAtMs = performance.now() + waitMs;
+    while (!this.closed && performance.now() < giveUpAtMs) {
+      const {isLeader, reachableLeader} = this.access?.election ?? {};
+      if (isLeader || reachableLeader) return;
+      await sleep(START_POLL_MS);
+    }
+  }
+
   /** Returns undefined if the table has to be read instead. */
   private async requestFromLeader(
     request: RelayRequest,
   ): Promise<Result<FeedPage<Item>, FeedError> | undefined> {
-    const leader = this.access?.election.reachableLeader;
+    const leader = this.access?.election.feedSource;
     if (!this.access || !leader) return undefined;
     if (performance.now() < this.readDirectUntilMs) return undefined;
+    if (!(await this.access.election.connect(leader, CONNECT_TIMEOUT_MS))) {
+      this.readDirectUntilMs = performance.now() + DIRECT_READ_PERIOD_MS;
+      return undefined;
+    }
     const sentAtMs = performance.now();
     const response = await this.access.network.request(
       leader.instanceId,
@@ -115,11 +145,11 @@
       const message = 'the leader does not have it';
       return Err({kind: 'history-gone', message});
     }
-    const {rows, era, revision, ageMs} = parsed.data;
+    const {rows, era, revision, ageMs, heldMs} = parsed.data;
     const elapsedMs = performance.now() - sentAtMs;
     const timedOut = rows.length === 0 && elapsedMs >= request.waitMs;
-    const confirmedOffsetMs =
-      (timedOut ? request.waitMs : 0) - Math.max(0, ageMs);
+    const confirmedAtMs = heldMs ?? (timedOut ? request.waitMs : 0);
+    const confirmedOffsetMs = confirmedAtMs - Math.max(0, ageMs);
     const items = rows.flatMap(row => this.parseRow(row) ?? []);
     const position = {era, revision};
     return Ok({rows: items, position, confirmedOffsetMs});
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -71,6 +71,9 @@
 const TABLE_RETRY_MS = 500;
 // Spreads the candidacies of members that lost their leader at the same time.
 const CANDIDACY_JITTER_MS = 150;
+// Time that instances which are as large as the last leader have to replace it
+// before a smaller one does.
+const SMALLER_INSTANCE_DELAY_MS = 300;
 // Enough for the rows of all zones and the secret.
 const MAX_SCAN_ROWS = 200;
 
@@ -81,6 +84,8 @@
   private holdsLeadership = false;
   private isCandidate = true;
   private stopped = false;
+  /** Has waited for a larger instance to become leader. */
+  private hasDeferred = false;
   private fleetSize = 1;
   /** Keys of leader rows that are not valid. */
   private invalidLeaders: ReadonlySet<string> = new Set();
@@ -150,14 +155,31 @@
     return others.sort((a, b) => distance(a) - distance(b));
   }
 
+  /**
+   * The leader to read feeds from instead of the table: for members that of their
+   * zone, for leaders the first of all zones by name. Undefined for that one
+   * itself, and while no leader is known.
+   */
+  get feedSource(): Leader | undefined {
+    if (!this.isLeader) return this.reachableLeader;
+    const {self} = this.options;
+    let first: Leader | undefined;
+    for (const leader of this.otherLeaders) {
+      const {availabilityZone} = leader;
+      if (availabilityZone > (first ?? self).availabilityZone) continue;
+      first = leader;
+    }
+    return first;
+  }
+
   /** Number of zones that have a leader, at least 1. */
   get zoneCount(): number {
     return Math.max(1, this.leaders.size);
   }
 
+  /** Begins with rows that were just read. */
   start(rows: readonly TableRow[]): void {
-    this.applyRows(rows);
-    void this.run();
+    void this.run(rows);
   }
 
   stop(): void {
@@ -169,10 +191,13 @@
     this.isCandidate = false;
   }
 
-  private async run(): Promise<void> {
+  private async run(firstRows: readonly TableRow[]): Promise<void> {
+    let rows: readonly TableRow[] | undefined = firstRows;
     while (!this.stopped) {
       try {
-        await this.takeTurn();
+        const turn = this.takeTurn(rows);
+        rows = undefined;
+        await turn;
       } catch (error) {
         // An odd row or response must end neither the election nor the process.
         const reason = toLogText(String(error));
@@ -182,21 +207,24 @@
     }
   }
 
-  private async takeTurn(): Promise<void> {
-    const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
+  private async takeTurn(known?: readonly TableRow[]): Promise<void> {
+    const rows = known ?? (await this.readRows());
+    if (!rows || this.stopped) return;
+    await this.options.onRowsRead?.(rows);
     if (this.stopped) return;
-    if (rows.err) {
-      await sleep(TABLE_RETRY_MS);
-      return;
-    }
-    await this.options.onRowsRead?.(rows.val);
-    if (this.stopped) return;
-    this.logInvalidLeaders(rows.val);
-    this.applyRows(rows.val);
+    this.logInvalidLeaders(rows);
+    this.applyRows(rows);
     this.closeIdleConnections();
-    if (this.holdsLeadership) await this.actAsLeader(rows.val);
+    if (this.holdsLeadership) await this.actAsLeader(rows);
     else if (await this.connectToLeader()) await this.followLeader();
-    else await this.tryBecomeLeader(rows.val);
+    else await this.tryBecomeLeader(rows);
+  }
+
+  private async readRows(): Promise<readonly TableRow[] | undefined> {
+    const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
+    if (rows.ok) return rows.val;
+    await sleep(TABLE_RETRY_MS);
+    return undefined;
   }
 
   /** Logs each row in the place of a leader that names none once. */
@@ -217,6 +245,7 @@
     const leads = own?.lifeId === self.lifeId;
     if (leads === this.holdsLeadership) return;
     this.holdsLeadership = leads;
+    this.hasDeferred = false;
     const {availabilityZone} = self;
     if (!leads) {
       const leader = own?.instanceId;
@@ -327,6 +356,7 @@
     const leader = this.leaders.get(self.availabilityZone)!;
     this.options.onFollowLeader?.(leader);
     this.resignedId = undefined;
+    this.hasDeferred = false;
     const hasResigned = () => this.resignedId === leader.instanceId;
     while (!this.stopped && this.isConnected(leader) && !hasResigned()) {
       await sleep(MEMBER_CONNECTION_POLL_MS);
@@ -339,6 +369,11 @@
 
   private async tryBecomeLeader(rows: readonly TableRow[]): Promise<void> {
     const {self, table} = this.options;
+    if (this.isSmallerThanLeader() && !this.hasDeferred) {
+      this.hasDeferred = true;
+      await sleep(SMALLER_INSTANCE_DELAY_MS);
+      return;
+    }
     await sleep(Math.random() * CANDIDACY_JITTER_MS);
     if (this.stopped) return;
     if (!this.isCandidate) {
@@ -352,6 +387,15 @@
     if (result.err) await sleep(TABLE_RETRY_MS);
   }
 
+  /** Whether the last leader of the zone had more processor time. */
+  private isSmallerThanLeader(): boolean {
+    const {self} = this.options;
+    const last = this.leaders.get(self.availabilityZone)?.processorShare;
+    // Rows of earlier builds and settings without limits name none.
+    if (last === undefined || self.processorShare === undefined) return false;
+    return self.processorShare < last;
+  }
+
   /**
    * Connects to a leader of another zone; returns whether it succeeded in time.
    */
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -41,6 +41,8 @@
 
 export interface ZoneMemberOptions {
   self: Leader;
+  /** Delay of the first read of the table, in milliseconds. */
+  startDelayMs?: number;
   table: TableService;
   rateBounds: RateBounds;
   retryBounds: RetryBounds;
@@ -179,7 +181,8 @@
   }
 
   private async join(): Promise<void> {
-    await sleep(Math.random() * START_JITTER_MS);
+    const {startDelayMs = 0} = this.options;
+    await sleep(startDelayMs + Math.random() * START_JITTER_MS);
     const tableState = await this.readTable();
     if (!tableState || this.stopped) return;
     const {self, table, rateBounds, findTeam: teamOf, logger} = this.options;
--- a/packages/zone/src/test/feed-relay_test.ts
+++ b/packages/zone/src/test/feed-relay_test.ts
@@ -16,6 +16,7 @@
 
 const MAX_AGE_MS = 1400;
 const WAIT_MS = 600;
+const START_WAIT_MS = 500;
 
 const at = (revision: number, era = 1) => ({era, revision});
 
@@ -35,6 +36,9 @@
   let ageMs: number;
   let leaderIsActive: boolean;
   let directReads: number;
+  let isConnected: boolean;
+  let memberElection: Record<string, unknown>;
+  let leaderElection: {isLeader: boolean; feedSource: unknown};
 
   beforeEach(() => {
     clock = FakeTimers.install({
@@ -49,17 +53,24 @@
     const leader = network.join(identity('leader'));
     const member = network.join(identity('member'));
     [ageMs, leaderIsActive, directReads] = [100, true, 0];
-    const election = {
+    isConnected = true;
+    memberElection = {
+      isLeader: false,
+      reachableLeader: {instanceId: 'leader'},
+      feedSource: {instanceId: 'leader'},
+      connect: async () => isConnected,
+    };
+    leaderElection = {
       get isLeader() {
         return leaderIsActive;
       },
-      reachableLeader: {instanceId: 'leader'},
-    } as unknown as ZoneElection;
+      feedSource: undefined,
+    };
     relay = FeedRelay.create<string>(
       {name: 'f', maxAgeMs: MAX_AGE_MS},
       () => ageMs,
     );
-    relay.serve(leader, election);
+    relay.serve(leader, leaderElection as ZoneElection);
     const direct: ChangeFeed<string> = {
       readAll: async () => {
         directReads += 1;
@@ -76,8 +87,12 @@
       direct,
       itemSchema: z.string(),
       relayWaitMs: WAIT_MS,
+      startWaitMs: START_WAIT_MS,
+    });
+    feed.useRelay({
+      network: member,
+      election: memberElection as unknown as ZoneElection,
     });
-    feed.useRelay({network: member, election});
     relay.storePage(page(10, {a: '1', b: '2'}), true);
   });
   afterEach(() => clock.uninstall());
@@ -114,6 +129,55 @@
     expect(directReads).toEqual(1);
   });
 
+  // Guards against ages that add up over the instances of a relay, until each
+  // reads the table itself.
+  it('returns when the feed of the leader was confirmed again', async () => {
+    const waiting = feed.changesAfter(at(10), 5000);
+    await clock.tickAsync(200);
+    ageMs = 20;
+    relay.storePage(page(10, {}), false);
+    const unchanged = (await settle(waiting)).unwrap();
+    expect(unchanged.rows).toEqual([]);
+    expect(unchanged.confirmedOffsetMs).toEqual(200 - 20);
+    expect(directReads).toEqual(0);
+  });
+
+  it('allows a leader that reads from another one a little more', async () => {
+    ageMs = MAX_AGE_MS + 100;
+    leaderElection.feedSource = {instanceId: 'other'};
+    const all = (await settle(feed.readAll(0))).unwrap();
+    expect(all.rows.length).toEqual(2);
+    ageMs = MAX_AGE_MS + 201;
+    await settle(feed.readAll(0));
+    expect(directReads).toEqual(1);
+  });
+
+  it('reads the table while the leader is not reached', async () => {
+    isConnected = false;
+    await settle(feed.changesAfter(at(10), 1000));
+    expect(directReads).toEqual(1);
+  });
+
+  // Guards against a read of the table by each instance of a fleet that starts.
+  it('waits at its start for a leader, but not for long', async () => {
+    memberElection['reachableLeader'] = undefined;
+    memberElection['feedSource'] = undefined;
+    const reading = feed.readAll(0);
+    await clock.tickAsync(START_WAIT_MS - 20);
+    expect(directReads).toEqual(0);
+    memberElection['reachableLeader'] = {instanceId: 'leader'};
+    memberElection['feedSource'] = {instanceId: 'leader'};
+    expect((await settle(reading, 20)).unwrap().rows.length).toEqual(2);
+    expect(directReads).toEqual(0);
+  });
+
+  it('reads the table if there is no leader at its start', async () => {
+    memberElection['reachableLeader'] = undefined;
+    memberElection['feedSource'] = undefined;
+    await settle(feed.readAll(0), START_WAIT_MS + 20);
+    expect(directReads).toEqual(1);
+  });
+
   it('reads the table when the leader was replaced', async () => {
     leaderIsActive = false;
     await settle(feed.changesAfter(at(10), 1000));
--- a/packages/zone/src/test/odd-relay_test.ts
+++ b/packages/zone/src/test/odd-relay_test.ts
@@ -21,7 +21,8 @@
   let lines: string[];
   const election = {
     isLeader: true,
-    reachableLeader: {instanceId: 'leader'},
+    feedSource: {instanceId: 'leader'},
+    connect: async () => true,
   } as unknown as ZoneElection;
 
   beforeEach(() => {
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -38,7 +38,12 @@
     clock.uninstall();
   });
 
-  function join(instanceId: string, zone: string, run = 'first-run'): Member {
+  function join(
+    instanceId: string,
+    zone: string,
+    run = 'first-run',
+    processorShare?: number,
+  ): Member {
     const self: Leader = {
       instanceId,
       lifeId: `${instanceId}-${run}`,
@@ -47,6 +52,7 @@
       host: '10.0.0.1',
       port: 7100,
       instances: 1,
+      processorShare,
     };
     const peers = network.join({
       instanceId,
@@ -129,6 +135,43 @@
     expect(countLeaders(remaining)).toEqual(1);
   });
 
+  // Guards against a table that each leader reads, and against leaders that read
+  // from each other in a circle.
+  it('has one leader read the table for all', async () => {
+    const all = ['nord-a', 'nord-b', 'sud-a'].map(zone => join(zone, zone));
+    await clock.tickAsync(5000);
+    const sources = all.map(({election}) => election.feedSource?.instanceId);
+    expect(sources).toEqual([undefined, 'nord-a', 'nord-a']);
+    all[0]!.election.stop();
+    network.leave('nord-a');
+    const successor = join('n2', 'nord-a');
+    await clock.tickAsync(5000);
+    expect(successor.election.feedSource).toEqual(undefined);
+    expect(all[2]!.election.feedSource?.instanceId).toEqual('n2');
+  });
+
+  // Guards against small machines that lead a zone while larger ones could.
+  it('prefers an instance as large as the last leader', async () => {
+    for (let round = 0; round < 5; round += 1) {
+      const zone = `zone-${round}`;
+      const first = join(`first-${round}`, zone, 'run', 0.7);
+      await clock.tickAsync(1000);
+      const small = ['a', 'b', 'c'].map(id =>
+        join(`${id}-${round}`, zone, 'run', 0.3),
+      );
+      const large = join(`large-${round}`, zone, 'run', 0.7);
+      await clock.tickAsync(5000);
+      first.election.stop();
+      network.leave(`first-${round}`);
+      await clock.tickAsync(5000);
+      expect(large.election.isLeader).toEqual(true);
+      large.election.stop();
+      network.leave(`large-${round}`);
+      await clock.tickAsync(5000);
+      expect(countLeaders(small)).toEqual(1);
+    }
+  });
+
   // The zone would be without a leader again a moment later.
   it('does not elect an instance that is about to stop', async () => {
     const all = ['n1', 'n2'].map(id => join(id, 'nord-a'));
