Relay leader rows, and let the waits for changes follow from the promises

Change: leaders take the rows from the leader that reads the store, unless they are older than those already known; each reads the store itself every 20 s, for the secret, and when that leader is not reached, which is then not asked for 5 s. The longest wait for changes is the promise less 1 s (2 s at most) unless it is set; the settings gained server_leave_ms. Connections to other leaders have a module of their own.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -25,7 +25,7 @@
 import {GracefulStop} from './graceful-stop.js';
 import {RequestHandler} from './request-handler.js';
 import type {GatewaySettings} from './gateway-settings.js';
-import {PolicyHolder, RELAY_AGE_LIMIT_MS} from './policy-holder.js';
+import {PolicyHolder, RELAY_AGE_MARGIN_MS} from './policy-holder.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {StatusServer} from './status-server.js';
 
@@ -44,6 +44,11 @@
 // Longest wait of a relayed call. A leader responds earlier, when its own feed was
 // confirmed, which happens at the waits of [store].
 const RELAY_WAIT_MARGIN_MS = 100;
+// What a promise leaves for noticing a silent connection and reading again, and
+// the bounds of the waits that follow from it.
+const FEED_WAIT_RESERVE_MS = 1000;
+const MIN_FEED_WAIT_MS = 300;
+const MAX_FEED_WAIT_MS = 2000;
 // Longest wait of the first read of a feed for a leader.
 const LEADER_WAIT_MS = 600;
 // When the fleet starts for the first time, instances join one after the other,
@@ -92,32 +97,33 @@
   ) {
     const {instance, entry, store, promises, log} = settings;
     const startDelayMs = chooseStartDelayMs(settings);
+    const waits = chooseFeedWaits(settings);
     const linesPerSecond = log.lines_per_second;
     this.log = RateLimitedLog.create({logger, linesPerSecond});
     const policyFeed = RelayedFeed.create<TrafficPolicy>({
       name: 'policy',
       direct: sources.policyFeed,
       itemSchema: trafficPolicySchema,
-      relayWaitMs: store.policy_wait_ms + RELAY_WAIT_MARGIN_MS,
+      relayWaitMs: waits.policyMs + RELAY_WAIT_MARGIN_MS,
       startWaitMs: startDelayMs + LEADER_WAIT_MS,
       logger,
     });
     this.policies = PolicyHolder.create({
       feed: policyFeed,
       reader: sources.policyReader,
-      waitMs: store.policy_wait_ms,
+      waitMs: waits.policyMs,
       logger,
     });
     const serverFeed = RelayedFeed.create<DiscoveredServer>({
       name: 'servers',
       direct: sources.serverFeed,
       itemSchema: discoveredServerSchema,
-      relayWaitMs: store.servers_wait_ms + RELAY_WAIT_MARGIN_MS,
+      relayWaitMs: waits.serversMs + RELAY_WAIT_MARGIN_MS,
       startWaitMs: startDelayMs + LEADER_WAIT_MS,
       logger,
     });
     const serverRelay = FeedRelay.create<DiscoveredServer>(
-      {name: 'servers', maxAgeMs: RELAY_AGE_LIMIT_MS},
+      {name: 'servers', maxAgeMs: waits.serversMs + RELAY_AGE_MARGIN_MS},
       () => this.serverLease.ageMs(),
     );
     const headerNames = toHeaderNames(settings);
@@ -158,7 +164,7 @@
     this.serverFollower = FeedFollower.create({
       name: 'server feed',
       feed: serverFeed,
-      waitMs: store.servers_wait_ms,
+      waitMs: waits.serversMs,
       pauseMs: store.servers_pause_ms,
       listener: {
         onCallStart: () => (this.serverCallSentAt = readClocks()),
@@ -386,6 +392,27 @@
   });
 }
 
+/**
+ * Chooses the longest waits of calls for changes. A connection that has gone
+ * silent shows only at the end of one, which has to leave time for reading the
+ * changes within the promises.
+ */
+function chooseFeedWaits({store, promises}: GatewaySettings): {
+  policyMs: number;
+  serversMs: number;
+} {
+  const {policy_apply_ms, server_leave_ms = policy_apply_ms} = promises;
+  const derive = (promiseMs: number) =>
+    Math.max(
+      MIN_FEED_WAIT_MS,
+      Math.min(promiseMs - FEED_WAIT_RESERVE_MS, MAX_FEED_WAIT_MS),
+    );
+  return {
+    policyMs: store.policy_wait_ms ?? derive(policy_apply_ms),
+    serversMs: store.servers_wait_ms ?? derive(server_leave_ms),
+  };
+}
+
 /** Spreads the joins of a fleet that starts for the first time. */
 function chooseStartDelayMs({instance}: GatewaySettings): number {
   if (instance.first_start !== 'true') return 0;
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -76,9 +76,9 @@
   store: z.strictObject({
     address,
     /** Longest wait of one call for policy changes (long polling). */
-    policy_wait_ms: durationMs,
+    policy_wait_ms: durationMs.optional(),
     /** Longest wait of one call for changes of the server list. */
-    servers_wait_ms: durationMs,
+    servers_wait_ms: durationMs.optional(),
     /** Pause after a call that returned server changes, which batches them. */
     servers_pause_ms: durationMs,
   }),
@@ -87,6 +87,8 @@
     revocation_ms: durationMs,
     /** Time after which a changed policy must be in force everywhere. */
     policy_apply_ms: durationMs,
+    /** Time after which a server that leaves must get no new request. */
+    server_leave_ms: durationMs.optional(),
     /** Time within which a stop must be complete. */
     stop_within_ms: durationMs,
     /** Time that server entries which lapsed in an outage need to return. */
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -31,9 +31,9 @@
 // change carries the complete policy, so that versions can be skipped when many
 // changes follow each other.
 const CHANGE_PAUSE_MS = 50;
-// A leader whose last confirmation is older than this makes the members of its
-// zone read the store themselves. Above the wait of the leader's own calls (1 s).
-export const RELAY_AGE_LIMIT_MS = 1400;
+// A leader whose last confirmation is older than the wait of its own calls and this
+// makes others read the store themselves.
+export const RELAY_AGE_MARGIN_MS = 400;
 
 // Bounds the log line about parts that are not taken.
 const MAX_LOGGED_NOTICES = 10;
@@ -42,10 +42,7 @@
 export class PolicyHolder {
   readonly lease = FreshnessLease.create();
   /** Relays the policy to the other instances of the zone. */
-  readonly relay = FeedRelay.create<TrafficPolicy>(
-    {name: 'policy', maxAgeMs: RELAY_AGE_LIMIT_MS},
-    () => this.lease.ageMs(),
-  );
+  readonly relay: FeedRelay<TrafficPolicy>;
   /** Exchanges the newest policy with zone leaders. */
   readonly exchange: PolicyExchange;
   private table: PolicyTable | undefined;
@@ -60,6 +57,10 @@
 
   private constructor(private readonly options: PolicyHolderOptions) {
     const {feed, waitMs, logger} = options;
+    this.relay = FeedRelay.create<TrafficPolicy>(
+      {name: 'policy', maxAgeMs: waitMs + RELAY_AGE_MARGIN_MS},
+      () => this.lease.ageMs(),
+    );
     this.exchange = PolicyExchange.create({
       current: () => this.table?.policy,
       offer: policy => this.applyIfNewer(policy),
--- a/packages/zone/src/lib/leader-row.ts
+++ b/packages/zone/src/lib/leader-row.ts
@@ -79,7 +79,7 @@
   return row.key === leaderKey(availabilityZone) ? leader.data : undefined;
 }
 
-function isLeaderKey(key: string): boolean {
+export function isLeaderKey(key: string): boolean {
   return key.startsWith(LEADER_PREFIX);
 }
 
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -20,6 +20,8 @@
   parseLeaders,
 } from './leader-row.js';
 import type {Leader} from './leader-row.js';
+import {LeaderConnections} from './leader-connections.js';
+import {LeaderRowRelay} from './leader-row-relay.js';
 import {LeaderView} from './leader-view.js';
 
 export interface ZoneElectionOptions {
@@ -56,18 +58,25 @@
 type Confirmation = z.infer<typeof confirmationSchema>;
 const fleetSizeSchema = z.object({instances: instancesSchema});
 
-// Interval at which a leader reads its row; bounds how long two instances may
-// act as leader.
+// Interval at which a leader reads its row from the table; bounds how long two
+// instances may act as leader.
 const LEADER_ROW_POLL_MS = 2000;
+// The same for a leader that reads for others, and for those. Together with the
+// age of relayed rows and the wait for them, it is below the 2.5 s for which
+// grants reckon with a former leader.
+const RELAYED_ROW_POLL_MS = 900;
+const MAX_RELAYED_ROW_AGE_MS = 1050;
+// The secret is read from the table only.
+const FULL_READ_INTERVAL_MS = 20_000;
 // Interval at which a member checks its connection to the leader.
 const MEMBER_CONNECTION_POLL_MS = 250;
 // Connecting within a zone takes a few milliseconds, even to a busy leader.
 const LEADER_CONNECT_TIMEOUT_MS = 450;
 const LEADER_CONNECT_POLL_MS = 30;
 const CONNECT_POLL_MS = 10;
-// A connection to another zone is closed after it was idle for this long.
-const IDLE_CONNECTION_TIMEOUT_MS = 4000;
 const CONFIRM_TIMEOUT_MS = 400;
+// Connecting to another region takes about 20 ms.
+const SOURCE_CONNECT_TIMEOUT_MS = 300;
 const TABLE_RETRY_MS = 500;
 // Spreads the candidacies of members that lost their leader at the same time.
 const CANDIDACY_JITTER_MS = 150;
@@ -79,14 +88,15 @@
 
 export class ZoneElection {
   private readonly leaders = LeaderView.create();
-  /** When each connection to a leader of another zone was last used. */
-  private readonly lastUsedAtMs = new Map<string, number>();
+  private readonly connections: LeaderConnections;
   private holdsLeadership = false;
   private isCandidate = true;
   private stopped = false;
   /** Has waited for a larger instance to become leader. */
   private hasDeferred = false;
   private fleetSize = 1;
+  private readonly rowRelay: LeaderRowRelay;
+  private nextFullReadAtMs = 0;
   /** Keys of leader rows that are not valid. */
   private invalidLeaders: ReadonlySet<string> = new Set();
   /** The leader that last reported that it leads no longer. */
@@ -96,6 +106,9 @@
 
   private constructor(private readonly options: ZoneElectionOptions) {
     const {network, self} = options;
+    this.connections = LeaderConnections.create(network, self.availabilityZone);
+    const maxAgeMs = MAX_RELAYED_ROW_AGE_MS;
+    this.rowRelay = LeaderRowRelay.create({network, maxAgeMs});
     network.onRequest(CONFIRM_LEADER_KIND, () => {
       const confirmation: Confirmation = {
         leads: this.isLeader,
@@ -157,7 +170,7 @@
 
   /**
    * The leader to read feeds from instead of the table: for members that of their
-   * zone, for leaders the first of all zones by name. Undefined for that one
+   * zone, for leaders the first of all reached zones by name. Undefined for that one
    * itself, and while no leader is known.
    */
   get feedSource(): Leader | undefined {
@@ -165,7 +178,8 @@
     const {self} = this.options;
     let first: Leader | undefined;
     for (const leader of this.otherLeaders) {
-      const {availabilityZone} = leader;
+      const {availabilityZone, instanceId} = leader;
+      if (this.connections.isUnreached(instanceId)) continue;
       if (availabilityZone > (first ?? self).availabilityZone) continue;
       first = leader;
     }
@@ -208,23 +222,41 @@
   }
 
   private async takeTurn(known?: readonly TableRow[]): Promise<void> {
-    const rows = known ?? (await this.readRows());
+    const relayed = known ? undefined : await this.fetchRows();
+    const rows = known ?? relayed ?? (await this.readTable());
     if (!rows || this.stopped) return;
-    await this.options.onRowsRead?.(rows);
+    if (!relayed) await this.options.onRowsRead?.(rows);
     if (this.stopped) return;
-    this.logInvalidLeaders(rows);
+    if (!relayed) this.logInvalidLeaders(rows);
     this.applyRows(rows);
-    this.closeIdleConnections();
-    if (this.holdsLeadership) await this.actAsLeader(rows);
+    this.connections.closeIdle();
+    if (this.holdsLeadership) await this.actAsLeader(rows, relayed === rows);
     else if (await this.connectToLeader()) await this.followLeader();
     else await this.tryBecomeLeader(rows);
   }
 
-  private async readRows(): Promise<readonly TableRow[] | undefined> {
-    const rows = await this.options.table.scan('', MAX_SCAN_ROWS);
-    if (rows.ok) return rows.val;
-    await sleep(TABLE_RETRY_MS);
-    return undefined;
+  /** Returns the leader rows that another leader has read, if it is reached. */
+  private async fetchRows(): Promise<readonly TableRow[] | undefined> {
+    const source = this.holdsLeadership ? this.feedSource : undefined;
+    if (!source || performance.now() >= this.nextFullReadAtMs) return undefined;
+    if (!(await this.connect(source, SOURCE_CONNECT_TIMEOUT_MS))) {
+      return undefined;
+    }
+    const era = this.options.table.era ?? 0;
+    return this.rowRelay.fetch(source.instanceId, era);
+  }
+
+  private async readTable(): Promise<readonly TableRow[] | undefined> {
+    const {table} = this.options;
+    const sentAtMs = performance.now();
+    const rows = await table.scan('', MAX_SCAN_ROWS);
+    if (rows.err) {
+      await sleep(TABLE_RETRY_MS);
+      return undefined;
+    }
+    this.nextFullReadAtMs = sentAtMs + FULL_READ_INTERVAL_MS;
+    this.rowRelay.store(rows.val, table.era ?? 0, sentAtMs);
+    return rows.val;
   }
 
   /** Logs each row in the place of a leader that names none once. */
@@ -267,7 +299,10 @@
    * Counts the instances of the fleet, reports the number to the zone, and
    * sleeps until the next read of the row.
    */
-  private async actAsLeader(rows: readonly TableRow[]): Promise<void> {
+  private async actAsLeader(
+    rows: readonly TableRow[],
+    areRelayed: boolean,
+  ): Promise<void> {
     const {network, self, table} = this.options;
     const zonePeers = this.zonePeers();
     const instances = zonePeers.length + 1;
@@ -290,7 +325,9 @@
         network.send(peer.instanceId, FLEET_SIZE_KIND, {instances: total});
       }
     }
-    await sleep(LEADER_ROW_POLL_MS);
+    const isRead = !this.feedSource && this.otherLeaders.length > 0;
+    const pollsOften = areRelayed || isRead;
+    await sleep(pollsOften ? RELAYED_ROW_POLL_MS : LEADER_ROW_POLL_MS);
   }
 
   /**
@@ -360,7 +397,7 @@
     const hasResigned = () => this.resignedId === leader.instanceId;
     while (!this.stopped && this.isConnected(leader) && !hasResigned()) {
       await sleep(MEMBER_CONNECTION_POLL_MS);
-      this.closeIdleConnections();
+      this.connections.closeIdle();
     }
     if (this.stopped) return;
     network.disconnect(leader.instanceId);
@@ -399,35 +436,11 @@
   /**
    * Connects to a leader of another zone; returns whether it succeeded in time.
    */
-  async connect(leader: Leader, waitMs: number): Promise<boolean> {
-    const {availabilityZone} = this.options.self;
-    if (leader.availabilityZone !== availabilityZone) {
-      this.lastUsedAtMs.set(leader.instanceId, performance.now());
-    }
-    if (this.isConnected(leader)) return true;
-    this.options.network.connectTo(leader);
-    const deadlineAtMs = performance.now() + waitMs;
-    while (performance.now() < deadlineAtMs) {
-      await sleep(CONNECT_POLL_MS);
-      if (this.isConnected(leader)) return true;
-    }
-    return false;
+  connect(leader: Leader, waitMs: number): Promise<boolean> {
+    return this.connections.connect(leader, waitMs);
   }
 
-  /** Closes idle connections to other zones, which cause traffic while open. */
-  private closeIdleConnections(): void {
-    const nowMs = performance.now();
-    for (const [instanceId, usedAtMs] of this.lastUsedAtMs) {
-      if (nowMs - usedAtMs < IDLE_CONNECTION_TIMEOUT_MS) continue;
-      this.lastUsedAtMs.delete(instanceId);
-      this.options.network.disconnect(instanceId);
-    }
-  }
-
-  private isConnected(leader: Leader): boolean {
-    const {instanceId} = leader;
-    return this.options.network
-      .peers()
-      .some(peer => peer.instanceId === instanceId);
+  private isConnected({instanceId}: Leader): boolean {
+    return this.connections.isConnected(instanceId);
   }
 }
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -14,6 +14,7 @@
 import type {Leader} from '../lib/leader-row.js';
 
 interface Member {
+  self: Leader;
   election: ZoneElection;
   /** How long the zone had no leader, each time this member became leader. */
   vacantForMs: number[];
@@ -83,7 +84,7 @@
         vacantForMs.push(performance.now() - vacantSinceMs),
     });
     election.start([]);
-    const member = {election, disconnected, vacantForMs};
+    const member = {self, election, disconnected, vacantForMs};
     members.push(member);
     return member;
   }
@@ -150,6 +151,37 @@
     expect(all[2]!.election.feedSource?.instanceId).toEqual('n2');
   });
 
+  // Guards against reads of the table that grow with the number of zones.
+  it('reads the leader rows about once a second for nine zones', async () => {
+    let reads = 0;
+    const scan = table.scan.bind(table);
+    table.scan = (prefix, limit) => {
+      reads += 1;
+      return scan(prefix, limit);
+    };
+    const zones = Array.from({length: 9}, (_, index) => `zone-${index}`);
+    const all = zones.map(zone => join(zone, zone));
+    await clock.tickAsync(10_000);
+    reads = 0;
+    await clock.tickAsync(20_000);
+    // One a second, and one of each leader in 20 s for the secret.
+    expect(reads <= 20 / 0.9 + 2 * zones.length).toEqual(true);
+    expect(countLeaders(all)).toEqual(9);
+    // A former leader still notices its successor in time.
+    const successor = {...all[4]!.self, instanceId: 'x', lifeId: 'x'};
+    const [row] = (await table.scan('leader/zone-4', 1)).unwrap();
+    const {key, version: ifVersion} = row!;
+    await table.batch([{kind: 'put', key, ifVersion, value: successor}], {
+      atomic: true,
+    });
+    let waitedMs = 0;
+    while (all[4]!.election.isLeader && waitedMs < 5000) {
+      await clock.tickAsync(50);
+      waitedMs += 50;
+    }
+    expect(waitedMs <= 2400).toEqual(true);
+  });
+
   // Guards against small machines that lead a zone while larger ones could.
   it('prefers an instance as large as the last leader', async () => {
     for (let round = 0; round < 5; round += 1) {
