Let one-time requests make the trials of failing servers last

Cause: a server that failed was avoided for 1.6 s whatever its record, and the next request, often one that cannot be repeated, made its trial.

Change: a request that may be repeated makes the trial at once, as before. A one-time request waits until 2 s after the failure, 4 s and 8 s after one and two failed trials, unless more servers are avoided or on trial than the floor leaves unused.

Tests: gateway-floor_test (six cases), server-record_test, service-state_test.

--- a/packages/proofs/src/lib/gateway-fleet.ts
+++ b/packages/proofs/src/lib/gateway-fleet.ts
@@ -31,6 +31,8 @@
   /** Requests of all callers to the service. */
   requestsPerSecond: number;
   floorShare: number;
+  /** Whether the requests wait for trials of failing servers. */
+  isOnce?: boolean;
 }
 
 /** One-time requests: each is sent once, and fails if its server fails it. */
@@ -201,6 +203,7 @@
       targetLatencyMs: TARGET_LATENCY_MS,
       baselineMs: state.baselineMs(TARGET_LATENCY_MS),
       tried: new Set(),
+      withheld: this.options.isOnce ? state.findWithheld() : new Set(),
       isRetry: false,
     });
     const server = this.servers.find(
--- a/packages/proofs/src/lib/gateway-floor.ts
+++ b/packages/proofs/src/lib/gateway-floor.ts
@@ -21,6 +21,11 @@
   hasLeaders: boolean;
   requestsPerSecond: number;
   variant?: GatewayVariant;
+  /** Whether all requests are one-time work. */
+  isOnce?: boolean;
+  /** Length of the phases in which servers fail; drawn from a range if absent. */
+  phaseMs?: number;
+  serversPerZone?: number;
 }
 
 export const FAILING_SERVERS: GatewayFloorScenario = {
@@ -75,7 +80,8 @@
       variant: scenario.variant ?? 'pooled',
       zonesByRegion: ZONES_BY_REGION,
       instancesPerZone: INSTANCES_PER_ZONE,
-      serversPerZone: SERVERS_PER_ZONE,
+      serversPerZone: scenario.serversPerZone ?? SERVERS_PER_ZONE,
+      isOnce: scenario.isOnce ?? false,
       requestsPerSecond: scenario.requestsPerSecond,
       floorShare: FLOOR_SHARE,
     });
@@ -97,7 +103,8 @@
   const nowMs = performance.now();
   for (const server of fleet.servers) {
     if (random() >= scenario.failingShare) continue;
-    const phaseMs = MIN_PHASE_MS + random() * (MAX_PHASE_MS - MIN_PHASE_MS);
+    const drawnMs = MIN_PHASE_MS + random() * (MAX_PHASE_MS - MIN_PHASE_MS);
+    const phaseMs = scenario.phaseMs ?? drawnMs;
     server.addFailurePhase({
       fromMs: nowMs,
       untilMs: nowMs + phaseMs,
--- a/packages/proofs/src/lib/limit-fleet.ts
+++ b/packages/proofs/src/lib/limit-fleet.ts
@@ -176,6 +176,7 @@
         targetLatencyMs: TARGET_LATENCY_MS,
         baselineMs: WORK_MS,
         tried: new Set(),
+        withheld: new Set(),
         isRetry: false,
       },
       {team, rank},
--- a/packages/proofs/src/test/gateway-floor_test.ts
+++ b/packages/proofs/src/test/gateway-floor_test.ts
@@ -33,7 +33,54 @@
   },
 };
 
+const LONG_PHASE_MS = 12_000;
+const SOME_FAILING: GatewayFloorScenario = {
+  ...FAILING_SERVERS,
+  failingShare: 0.15,
+  phaseMs: LONG_PHASE_MS,
+};
+
+/** One-time requests wait for trials, within the floor. */
+const ONCE_SCENARIOS: Record<string, GatewayFloorScenario> = {
+  'some servers fail for long': {...SOME_FAILING, isOnce: true},
+  'some servers fail for short': {
+    ...SOME_FAILING,
+    isOnce: true,
+    phaseMs: 3000,
+  },
+  'as many fail as the floor leaves out': {
+    ...SOME_FAILING,
+    isOnce: true,
+    failingShare: 0.3,
+  },
+  'half of the servers fail': {...FAILING_SERVERS, isOnce: true},
+  'there are few servers': {
+    ...SOME_FAILING,
+    isOnce: true,
+    serversPerZone: 1,
+    requestsPerSecond: 36,
+  },
+};
+
 describe('floor of a fleet of gateways', () => {
+  for (const [name, scenario] of Object.entries(ONCE_SCENARIOS)) {
+    it(`uses the floor share for one-time requests if ${name}`, async () => {
+      for (const seed of SEEDS) await checkGatewayFloor(scenario, seed);
+    });
+  }
+
+  // Guards against one-time requests that pay for trials of a server that is
+  // known to fail.
+  it('loses fewer one-time requests to trials of failing servers', async () => {
+    let [withTrials, withheld] = [0, 0];
+    for (const seed of SEEDS) {
+      withTrials += (await runGatewayFloor(SOME_FAILING, seed)).failedShare;
+      const scenario = {...SOME_FAILING, isOnce: true};
+      withheld += (await runGatewayFloor(scenario, seed)).failedShare;
+    }
+    expect(withheld < 0.7 * withTrials).toEqual(true);
+  });
+
   // Failed while avoidances left less of the 2 s to the next request of the zone.
   it('uses the floor share with the seeds that failed before', async () => {
     const scenario = {...FAILING_SERVERS, requestsPerSecond: 125};
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -84,6 +84,7 @@
   | {kind: 'stopped'}
   | {kind: 'abandoned'};
 
+const NONE_WITHHELD: ReadonlySet<ServerRecord> = new Set();
 // Attempts whose connection could not be opened don't count as sent. After this
 // many, the service is taken to be unreachable from this instance.
 const MAX_UNSENT_ATTEMPTS = 4;
@@ -379,7 +380,7 @@
       this.retryAfterMs = held.retryAfterMs;
       return;
     }
-    const {targetLatencyMs, team, rank} = this.options;
+    const {targetLatencyMs, team, rank, isIdempotent} = this.options;
     const baselineMs = state.baselineMs(targetLatencyMs);
     const choice = chooser.choose(
       state.records,
@@ -387,6 +388,7 @@
         targetLatencyMs,
         baselineMs,
         tried: this.tried,
+        withheld: isIdempotent ? NONE_WITHHELD : state.findWithheld(),
         isRetry: this.tried.size > 0,
       },
       {team, rank},
--- a/packages/upstream/src/lib/server-picker.ts
+++ b/packages/upstream/src/lib/server-picker.ts
@@ -16,6 +16,8 @@
   baselineMs: number;
   /** Servers to which the request was already sent. */
   tried: ReadonlySet<ServerRecord>;
+  /** Servers whose trial the request should not make. */
+  withheld: ReadonlySet<ServerRecord>;
   /** Whether this is the second or a later attempt of the request. */
   isRetry: boolean;
 }
@@ -33,7 +35,7 @@
 const AVOIDED_PENALTY = 20;
 const TRIED_PENALTY = 10;
 // A server on trial should get no retries, which may be a request's last attempt,
-// and only one request at a time unless the other servers are far away.
+// no requests that it is withheld from, and only one request at a time unless the other servers are far away.
 const TRIAL_RETRY_PENALTY = 10;
 const TRIAL_BUSY_PENALTY = 1;
 // A server that is still warming up takes about twice as long.
@@ -98,7 +100,8 @@
     if (record.isAvoided(nowMs)) penalty += AVOIDED_PENALTY;
     if (tried.has(record)) penalty += TRIED_PENALTY;
     if (record.isOnTrial(nowMs)) {
-      if (options.isRetry) penalty += TRIAL_RETRY_PENALTY;
+      if (options.isRetry || options.withheld.has(record))
+        penalty += TRIAL_RETRY_PENALTY;
       else if (record.inFlight > 0) penalty += TRIAL_BUSY_PENALTY;
     }
     return expectedMs * spread + penalty * targetLatencyMs;
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -16,6 +16,11 @@
 // at the same time. The rest of the 2 s is for the next request of its zone: with
 // a longer avoidance healthy servers stay unused where few requests arrive.
 const AVOIDANCE_MS = 1600;
+// A trial by a one-time request costs that request. It waits for so long after the
+// failure that a request which may be repeated makes the trial first, and twice
+// and four times as long after failed trials, where the floor allows it.
+const ONCE_TRIAL_MS = 2000;
+const MAX_ONCE_TRIAL_DOUBLINGS = 2;
 // An instance that learned of a failure from another avoids the server longer, by
 // a random share of the duration between these bounds, so that not all instances
 // make the trial at once.
@@ -62,7 +67,8 @@
   private avoidedAtMs = -Infinity;
   private avoidUntilMs = 0;
   private needsTrial = false;
-  private hasFailedTrial = false;
+  /** Trials that have failed since the last success. */
+  private failedTrials = 0;
   private distrustIdleUntilMs = 0;
 
   private constructor(
@@ -108,6 +114,11 @@
     return this.needsTrial && !this.isAvoided(nowMs);
   }
 
+  /** Whether it is avoided, or on trial. */
+  isUntrusted(nowMs: number): boolean {
+    return this.needsTrial || this.isAvoided(nowMs);
+  }
+
   isWarm(nowMs: number): boolean {
     return nowMs >= this.server.warmUntilMs;
   }
@@ -119,7 +130,13 @@
 
   /** Whether it is avoided after it also failed a trial. */
   isConfirmedFailing(nowMs: number): boolean {
-    return this.isAvoided(nowMs) && this.hasFailedTrial;
+    return this.isAvoided(nowMs) && this.failedTrials > 0;
+  }
+
+  /** Monotonic time from which one-time requests make the trial as well. */
+  get onceTrialAtMs(): number {
+    const doublings = Math.min(this.failedTrials, MAX_ONCE_TRIAL_DOUBLINGS);
+    return this.avoidedAtMs + ONCE_TRIAL_MS * 2 ** doublings;
   }
 
   /** Monotonic time at which the avoidance ends. */
@@ -132,7 +149,7 @@
     // A response to a request sent before the failure proves nothing.
     if (!this.isAvoided(performance.now())) {
       this.needsTrial = false;
-      this.hasFailedTrial = false;
+      this.failedTrials = 0;
     }
   }
 
@@ -165,7 +182,7 @@
         ? REPORTED_DELAY_MIN +
           (REPORTED_DELAY_MAX - REPORTED_DELAY_MIN) * this.random()
         : 0;
-    this.hasFailedTrial ||= this.needsTrial && kind !== 'rejected';
+    if (this.needsTrial && kind !== 'rejected') this.failedTrials += 1;
     this.avoidedAtMs = nowMs;
     this.avoidUntilMs = nowMs + AVOIDANCE_MS * (1 + delayShare);
     this.needsTrial = true;
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -33,6 +33,8 @@
   'error-status',
 ]);
 
+const NO_SERVERS: ReadonlySet<ServerRecord> = new Set();
+
 /** What an instance believes about servers; each server counts once. */
 export interface ServerBeliefs {
   /** Avoided after a failure. */
@@ -126,6 +128,23 @@
     return true;
   }
 
+  /**
+   * Servers whose trial should not be made by a one-time request yet. There are
+   * none while more servers are avoided or on trial than the floor leaves unused,
+   * since all of them may have recovered.
+   */
+  findWithheld(): ReadonlySet<ServerRecord> {
+    const nowMs = performance.now();
+    const waiting = this.records.filter(
+      record => record.isOnTrial(nowMs) && nowMs < record.onceTrialAtMs,
+    );
+    if (waiting.length === 0) return NO_SERVERS;
+    const staying = this.records.filter(({signals}) => !signals.isLeaving);
+    const untrusted = staying.filter(record => record.isUntrusted(nowMs));
+    const maxUnused = staying.length * (1 - this.options.floorShare);
+    return untrusted.length <= maxUnused ? new Set(waiting) : NO_SERVERS;
+  }
+
   countBeliefs(): ServerBeliefs {
     const nowMs = performance.now();
     const beliefs = {suspected: 0, failing: 0, onTrial: 0, trusted: 0};
--- a/packages/upstream/src/test/server-record_test.ts
+++ b/packages/upstream/src/test/server-record_test.ts
@@ -63,6 +63,24 @@
     expect(isAvoided(record)).toEqual(true);
   });
 
+  it('leaves the trial to repeatable requests for longer after failed trials', () => {
+    const record = recordIn('z1');
+    const failedAtMs = performance.now();
+    record.recordFailure('error-status');
+    expect(record.onceTrialAtMs - failedAtMs).toEqual(2000);
+    const waits: number[] = [];
+    for (let trial = 0; trial < 4; trial += 1) {
+      clock.tick(AVOIDANCE_MS);
+      record.recordFailure('error-status');
+      waits.push(record.onceTrialAtMs - performance.now());
+    }
+    expect(waits).toEqual([4000, 8000, 8000, 8000]);
+    clock.tick(AVOIDANCE_MS);
+    record.recordSuccess();
+    record.recordFailure('error-status');
+    expect(record.onceTrialAtMs - performance.now()).toEqual(2000);
+  });
+
   it('counts simultaneous failures as one', () => {
     const record = recordIn('z1');
     record.recordFailure('error-status');
@@ -105,6 +123,7 @@
       targetLatencyMs: 1000,
       baselineMs: 300,
       tried: new Set(),
+      withheld: new Set(),
       isRetry: false,
     };
     const picker = ServerPicker.create(
@@ -123,6 +142,16 @@
       expect(picker.pick([near, far], options)).toEqual(far);
     });
 
+    it('sends a withheld server only requests that may make its trial', () => {
+      const near = recordIn('z1');
+      const far = recordIn('z2');
+      near.recordFailure('error-status');
+      clock.tick(AVOIDANCE_MS);
+      expect(picker.pick([near, far], options)).toEqual(near);
+      const withheld = new Set([near]);
+      expect(picker.pick([near, far], {...options, withheld})).toEqual(far);
+    });
+
     it('does not send retries to a server on trial', () => {
       const near = recordIn('z1');
       const far = recordIn('z2');
--- a/packages/upstream/src/test/service-state_test.ts
+++ b/packages/upstream/src/test/service-state_test.ts
@@ -118,6 +118,21 @@
     expect(reported.includes('near-0 true')).toEqual(true);
   });
 
+  // Guards against servers that recover and that the whole fleet leaves unused.
+  it('withholds servers on trial only within the floor', () => {
+    for (const count of [MAX_SUSPECTED, MAX_SUSPECTED + 1]) {
+      for (const record of state.records.slice(0, count)) {
+        state.recordFailure(record, 'fault', 'reset');
+      }
+      clock.tick(1700);
+      const isWithin = count <= MAX_SUSPECTED;
+      expect(state.findWithheld().size).toEqual(isWithin ? count : 0);
+      clock.tick(LONGEST_AVOIDANCE_MS);
+      expect(state.findWithheld().size).toEqual(0);
+      for (const record of state.records) record.recordSuccess();
+    }
+  });
+
   it('never avoids more than half of the servers', () => {
     for (let round = 0; round < 6; round += 1) {
       for (const record of state.records) {
