Send leader rows only when they changed, and wait for leaders that start

At the start most members read the policy 3 to 9 times from the store, since the relay of a leader that has not been confirmed yet refused them for 2 s.

Change: a leader that asks for rows names the sum of the versions it has, and gets rows only if they differ. The first read of a feed waits up to 500 ms for a leader whose feed is about to be confirmed.

--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -139,6 +139,7 @@
     this.firstConfirmation = undefined;
     if (first && this.store.isComplete) {
       this.lease.confirm(first.sentAt, first.offsetMs);
+      this.relay.announceConfirmation();
     }
   }
 
--- a/packages/zone/src/lib/feed-relay.ts
+++ b/packages/zone/src/lib/feed-relay.ts
@@ -121,6 +121,11 @@
     // a complete page.
     this.position = page.position;
     for (const {key, item} of page.rows) this.storeRow(key, item, revision);
+    this.announceConfirmation();
+  }
+
+  /** Answers the requests that wait, because the feed was confirmed again. */
+  announceConfirmation(): void {
     for (const wake of [...this.waiting]) wake();
   }
 
@@ -152,6 +157,11 @@
   private async createResponse(request: RelayRequest): Promise<RelayResponse> {
     const {after, waitMs} = request;
     const receivedAtMs = performance.now();
+    // A leader that has just started will be confirmed in a moment.
+    const isEraKnown = (request.era ?? 0) <= this.position.era;
+    if (after === undefined && isEraKnown && !this.isFresh(request)) {
+      await this.waitForChange(waitMs);
+    }
     this.assertFresh(request);
     if (this.hasHistory(request) && !this.hasChanges(request)) {
       await this.waitForChange(waitMs);
@@ -166,11 +176,15 @@
     return {kind: 'page', rows, era, revision, ageMs: this.ageMs(), heldMs};
   }
 
-  private assertFresh({era}: RelayRequest): void {
+  private assertFresh(request: RelayRequest): void {
+    if (this.isFresh(request)) return;
+    throw new Error('the feed of this instance is out of date');
+  }
+
+  private isFresh({era}: RelayRequest): boolean {
     const isKnown =
       this.position.revision >= 0 && (era ?? 0) <= this.position.era;
-    if (isKnown && this.ageMs() <= this.maxAgeMs) return;
-    throw new Error('the feed of this instance is out of date');
+    return isKnown && this.ageMs() <= this.maxAgeMs;
   }
 
   /** Whether the changes after the member's position are stored. */
--- a/packages/zone/src/lib/leader-row-relay.ts
+++ b/packages/zone/src/lib/leader-row-relay.ts
@@ -18,8 +18,14 @@
   version: z.number().int().nonnegative(),
   value: z.unknown(),
 });
+const requestSchema = z.object({
+  /** Sum of the versions that the asking leader has; absent if it has none. */
+  versions: z.number().int().nonnegative().optional(),
+  era: z.number().int().nonnegative(),
+});
 const responseSchema = z.object({
-  rows: z.array(rowSchema).max(MAX_ROWS),
+  /** Absent if there is nothing newer. */
+  rows: z.array(rowSchema).max(MAX_ROWS).optional(),
   era: z.number().int().nonnegative(),
   ageMs: z.number().nonnegative(),
 });
@@ -37,10 +43,14 @@
   private readAtMs = -Infinity;
 
   private constructor(private readonly options: LeaderRowRelayOptions) {
-    options.network.onRequest(ROWS_KIND, (): RowsResponse => {
+    options.network.onRequest(ROWS_KIND, (_from, payload): RowsResponse => {
+      const known = requestSchema.parse(payload);
       const ageMs = performance.now() - this.readAtMs;
       if (ageMs > options.maxAgeMs) throw new Error('no fresh leader rows');
-      return {rows: this.rows, era: this.era, ageMs};
+      const {era} = this;
+      const isUnchanged =
+        known.era === era && known.versions === sumVersions(this.rows);
+      return isUnchanged ? {era, ageMs} : {rows: this.rows, era, ageMs};
     });
   }
 
@@ -64,11 +74,14 @@
     era: number,
   ): Promise<readonly TableRow[] | undefined> {
     const {network, maxAgeMs} = this.options;
+    // Versions of different eras can't be compared.
+    const known = this.era === era ? this.rows : [];
+    const versions = known.length > 0 ? sumVersions(known) : undefined;
     const sentAtMs = performance.now();
     const response = await network.request(
       instanceId,
       ROWS_KIND,
-      {},
+      {versions, era},
       RESPONSE_TIMEOUT_MS,
     );
     // Leaders of earlier builds don't know the request.
@@ -76,16 +89,22 @@
       response.ok ? response.val : undefined,
     );
     if (!parsed.success) return undefined;
-    const {rows, ageMs} = parsed.data;
+    const {rows = known, ageMs} = parsed.data;
     const oldestMs = ageMs + performance.now() - sentAtMs;
     if (parsed.data.era !== era || oldestMs > maxAgeMs) return undefined;
-    if (newestVersion(rows) < newestVersion(this.rows)) return undefined;
-    this.rows = rows;
+    if (known.some(row => isOlder(rows, row))) return undefined;
+    this.rows = [...rows];
+    this.era = era;
     return rows;
   }
 }
 
-/** Versions rise with each write, whichever row it is for. */
-function newestVersion(rows: readonly TableRow[]): number {
-  return Math.max(0, ...rows.map(({version}) => version));
+/** Grows whenever a row is written, since the version of each row only rises. */
+function sumVersions(rows: readonly TableRow[]): number {
+  return rows.reduce((sum, {version}) => sum + version, 0);
+}
+
+function isOlder(rows: readonly TableRow[], known: TableRow): boolean {
+  const row = rows.find(({key}) => key === known.key);
+  return row === undefined || row.version < known.version;
 }
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -47,6 +47,8 @@
 // Connecting to another region takes about 20 ms.
 const CONNECT_TIMEOUT_MS = 300;
 const START_POLL_MS = 10;
+// Longest wait for a leader that has just started itself.
+const FIRST_READ_WAIT_MS = 500;
 
 // Added to the requested wait. A leader responds within milliseconds after it;
 // a slow leader must not delay changes for longer than the table would.
@@ -80,7 +82,10 @@
 
   async readAll(minEra: number): Promise<Result<FeedPage<Item>, FeedError>> {
     await this.waitForLeader();
-    const relayed = await this.requestFromLeader({era: minEra, waitMs: 0});
+    const relayed = await this.requestFromLeader({
+      era: minEra,
+      waitMs: FIRST_READ_WAIT_MS,
+    });
     return relayed ?? this.options.direct.readAll(minEra);
   }
 
--- a/packages/zone/src/test/feed-relay_test.ts
+++ b/packages/zone/src/test/feed-relay_test.ts
@@ -122,6 +122,17 @@
     expect((await unchanged).unwrap().confirmedOffsetMs).toEqual(WAIT_MS - 100);
   });
 
+  // Guards against a fleet that reads the table while its leaders start.
+  it('waits for a leader whose feed is confirmed in a moment', async () => {
+    ageMs = Infinity;
+    const reading = feed.readAll(0);
+    await clock.tickAsync(200);
+    ageMs = 10;
+    relay.announceConfirmation();
+    expect((await settle(reading)).unwrap().rows.length).toEqual(2);
+    expect(directReads).toEqual(0);
+  });
+
   it('reads the table when the feed of the leader is out of date', async () => {
     ageMs = MAX_AGE_MS + 1;
     const read = (await settle(feed.changesAfter(at(10), 1000))).unwrap();
@@ -148,7 +159,7 @@
     const all = (await settle(feed.readAll(0))).unwrap();
     expect(all.rows.length).toEqual(2);
     ageMs = MAX_AGE_MS + 201;
-    await settle(feed.readAll(0));
+    await settle(feed.changesAfter(at(10), 1000));
     expect(directReads).toEqual(1);
   });
 
--- a/packages/zone/src/test/leader-row-relay_test.ts
+++ b/packages/zone/src/test/leader-row-relay_test.ts
@@ -68,6 +68,17 @@
     expect(await fetch()).toEqual(undefined);
   });
 
+  // Guards against the same rows in each answer, which may leave the region.
+  it('gives the known rows again if nothing is newer', async () => {
+    reader.store(rowsAt(5), ERA, performance.now());
+    const first = await fetch();
+    reader.store(rowsAt(5), ERA, performance.now());
+    const second = await fetch();
+    expect(second).toEqual(first!);
+    reader.store(rowsAt(8), ERA, performance.now());
+    expect((await fetch())![0]!.version).toEqual(8);
+  });
+
   it('gives no rows of another era or above the age', async () => {
     reader.store(rowsAt(5), ERA, performance.now());
     expect(await fetch(ERA + 1)).toEqual(undefined);
