--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -49,7 +49,8 @@
 const FEED_WAIT_RESERVE_MS = 1000;
 const MIN_FEED_WAIT_MS = 300;
 const MAX_FEED_WAIT_MS = 2000;
-// Longest wait of the first read of a feed for a leader.
+// Longest wait of the first read of a feed for a leader, at the first start of the
+// fleet. Later starts read the store at once, since callers are waiting.
 const LEADER_WAIT_MS = 600;
 // When the fleet starts for the first time, instances join one after the other,
 // the large ones first: they become leaders, and the others find them. Otherwise
@@ -97,6 +98,8 @@
   ) {
     const {instance, entry, store, promises, log} = settings;
     const startDelayMs = chooseStartDelayMs(settings);
+    const isFirstStart = instance.first_start === 'true';
+    const startWaitMs = isFirstStart ? startDelayMs + LEADER_WAIT_MS : 0;
     const waits = chooseFeedWaits(settings);
     const linesPerSecond = log.lines_per_second;
     this.log = RateLimitedLog.create({logger, linesPerSecond});
@@ -105,7 +108,7 @@
       direct: sources.policyFeed,
       itemSchema: trafficPolicySchema,
       relayWaitMs: waits.policyMs + RELAY_WAIT_MARGIN_MS,
-      startWaitMs: startDelayMs + LEADER_WAIT_MS,
+      startWaitMs,
       logger,
     });
     this.policies = PolicyHolder.create({
@@ -119,7 +122,7 @@
       direct: sources.serverFeed,
       itemSchema: discoveredServerSchema,
       relayWaitMs: waits.serversMs + RELAY_WAIT_MARGIN_MS,
-      startWaitMs: startDelayMs + LEADER_WAIT_MS,
+      startWaitMs,
       logger,
     });
     const serverRelay = FeedRelay.create<DiscoveredServer>(
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -170,7 +170,8 @@
 
   /**
    * The leader to read feeds from instead of the table: for members that of their
-   * zone, for leaders the first of all reached zones by name. Undefined for that one
+   * zone, for leaders the first reached one of their region, by the names of the
+   * zones: bytes between regions cost more than calls to the table. Undefined for that one
    * itself, and while no leader is known.
    */
   get feedSource(): Leader | undefined {
@@ -178,7 +179,8 @@
     const {self} = this.options;
     let first: Leader | undefined;
     for (const leader of this.otherLeaders) {
-      const {availabilityZone, instanceId} = leader;
+      const {availabilityZone, region, instanceId} = leader;
+      if (region !== self.region) continue;
       if (this.connections.isUnreached(instanceId)) continue;
       if (availabilityZone > (first ?? self).availabilityZone) continue;
       first = leader;
