Take empty settings fields for absent ones

A field that a deployment lacks is rendered as empty, which the settings refused, so that no process would start.

--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -37,6 +37,11 @@
 const durationMs = z.coerce.number().int().positive();
 const count = z.coerce.number().int().positive();
 
+/** A template renders a field that the platform does not know as empty. */
+function absentIfEmpty<T extends z.ZodType>(schema: T) {
+  return z.preprocess(value => (value === '' ? undefined : value), schema);
+}
+
 const gatewaySettingsSchema = z.strictObject({
   instance: z.strictObject({
     id: z.string().min(1),
@@ -46,9 +51,9 @@
     /** Assumed number of instances until they have been counted. */
     max_instances: count,
     /** Processor time of the machine for this process, in cores. */
-    processor_share: z.coerce.number().positive().optional(),
+    processor_share: absentIfEmpty(z.coerce.number().positive().optional()),
     /** Whether the whole fleet starts for the first time. */
-    first_start: z.enum(['true', 'false']).default('false'),
+    first_start: absentIfEmpty(z.enum(['true', 'false']).default('false')),
   }),
   entry: z.strictObject({
     listen: address,
@@ -88,7 +93,7 @@
     /** Time after which a changed policy must be in force everywhere. */
     policy_apply_ms: durationMs,
     /** Time after which a server that leaves must get no new request. */
-    server_leave_ms: durationMs.optional(),
+    server_leave_ms: absentIfEmpty(durationMs.optional()),
     /** Time within which a stop must be complete. */
     stop_within_ms: durationMs,
     /** Time that server entries which lapsed in an outage need to return. */
