Write the code cache with the options that the program runs with

Cause: V8 checks a hash of its options when it loads a code cache. Nothing reported it.

Change: the cache is written with the options of the command in deploy/system.toml; the loader warns when a cache is rejected. The wrapper function is part of the bundle file, so that the loader does not hold a second copy of the text.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -2,10 +2,11 @@
 // V8 code cache, since compiling the libraries dominates the startup time.
 import {build} from 'esbuild';
 import {spawnSync} from 'node:child_process';
-import {mkdirSync, writeFileSync} from 'node:fs';
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
 
 const BUNDLE = 'target/fireflytrackd.bundle.cjs';
 const LOADER = 'target/fireflytrackd.cjs';
+const DEPLOYMENT = 'deploy/system.toml';
 
 // Library modules that are loaded at startup but never called by the gateway:
 // body parsing, uploads and static files of moleculer-web, the runner and the
@@ -79,6 +80,14 @@
 if (process.argv.includes('--meta')) {
   writeFileSync('target/meta.json', JSON.stringify(result.metafile));
 }
+// The wrapper of a CommonJS module, written here so that the loader needs no
+// second copy of the text in memory.
+const code = readFileSync(BUNDLE, 'utf8');
+writeFileSync(
+  BUNDLE,
+  `(function (exports, require, module, __filename, __dirname) {${code}\n})`,
+);
+
 const loader = `'use strict';
 const fs = require('node:fs');
 const path = require('node:path');
@@ -86,16 +95,18 @@
 const file = path.join(__dirname, 'fireflytrackd.bundle.cjs');
 const cacheFile = file + '.cache';
 const writesCache = process.argv.includes('--write-code-cache');
-const source = fs.readFileSync(file, 'utf8');
 const cachedData =
   !writesCache && fs.existsSync(cacheFile)
     ? fs.readFileSync(cacheFile)
     : undefined;
-const script = new vm.Script('(function (exports, require, module, __filename, __dirname) {' + source + '\\n})', {
+const script = new vm.Script(fs.readFileSync(file, 'utf8'), {
   filename: file,
   cachedData,
   importModuleDynamically: vm.constants?.USE_MAIN_CONTEXT_DEFAULT_LOADER,
 });
+if (script.cachedDataRejected) {
+  console.error('code cache rejected: written by another version of Node.js or with other options');
+}
 const program = {exports: {}};
 script.runInThisContext()(program.exports, require, program, file, __dirname);
 if (writesCache) {
@@ -107,7 +118,20 @@
 }
 `;
 writeFileSync(LOADER, loader);
-const cacheRun = spawnSync(process.execPath, [LOADER, '--write-code-cache'], {
-  stdio: 'inherit',
-});
+// V8 rejects a cache that was written with other options than it runs with.
+const cacheRun = spawnSync(
+  process.execPath,
+  [...readNodeOptions(), LOADER, '--write-code-cache'],
+  {stdio: 'inherit'},
+);
 process.exit(cacheRun.status ?? 1);
+
+/** Options of Node.js in the command that starts the program. */
+function readNodeOptions() {
+  const deployment = readFileSync(DEPLOYMENT, 'utf8');
+  const command = /^run = "node (.*)target\/fireflytrackd\.cjs"$/m.exec(
+    deployment,
+  );
+  if (!command) throw new Error(`${DEPLOYMENT}: no command runs ${LOADER}`);
+  return command[1].split(' ').filter(option => option !== '');
+}
