Send nothing more for a caller that left

Cause: a one-time request is completed when its caller leaves while an attempt is under way. If that server then rejected the request as not run, the run went on and sent it to another server: work whose outcome nobody learns.

Change: no retry and no new attempt once the caller has left; such a run ends as "abandoned" when nothing has run. A stop of the instance still answers its callers.

--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -313,6 +313,7 @@
     }
     if (this.mayHaveRun || mayHaveBeenSent)
       return {kind: 'unknown', reason, ...reports};
+    if (this.hasCallerLeft) return {kind: 'abandoned', ...reports};
     const {retryAfterMs} = this;
     return {
       kind: 'not-run',
@@ -350,6 +351,7 @@
 
   /** Requests one more attempt from the budget, unless one is pending. */
   private requestRetry(cause: RetryCause): void {
+    if (this.hasCallerLeft) return;
     const {maxAttempts, request} = this.options;
     if (this.sentAttempts + this.pendingChoices.size >= maxAttempts) return;
     if (request.body.kind === 'stream') return;
@@ -373,7 +375,7 @@
 
   private startAttempt(): void {
     const {state, chooser} = this.context;
-    if (this.remainingMs < 1) return;
+    if (this.remainingMs < 1 || this.hasCallerLeft) return;
     const held = this.guard.refuseAttempt();
     if (held) {
       this.lastReason = held.reason;
@@ -417,7 +419,13 @@
     const isListed = this.context.state.records.includes(record);
     // A server may have left, or said so, while a grant was under way.
     if (!isListed || record.isWithdrawn(performance.now())) this.startAttempt();
-    else if (this.remainingMs >= 1) this.sendTo(record);
+    else if (this.remainingMs >= 1 && !this.hasCallerLeft) this.sendTo(record);
+  }
+
+  /** Whether the caller disconnected; in a stop it still waits. */
+  private get hasCallerLeft(): boolean {
+    const {aborted, reason} = this.options.abandoned;
+    return aborted && reason !== INSTANCE_STOPS;
   }
 
   private get remainingMs(): number {
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -262,4 +262,25 @@
     expect((await ended).kind).toEqual('abandoned');
     await closed;
   });
+
+  // Nobody would learn the outcome of a second attempt.
+  for (const ends of ['rejects', 'closes its connection'] as const) {
+    it(`sends nothing more for a caller that left, if the server ${ends}`, async () => {
+      await start(() => {}, good);
+      const abandoned = new AbortController();
+      const ended = run({isIdempotent: false, abandoned: abandoned.signal});
+      await new Promise(resolve => setTimeout(resolve, 50));
+      abandoned.abort();
+      const request = servers[0]!.received[0]!;
+      if (ends === 'rejects') {
+        const rejection = {status: '503 Busy', headers: 'Not-Run: 1\r\n'};
+        request.socket.write(answerTo(request, rejection));
+      } else {
+        request.socket.destroy();
+      }
+      const expected = ends === 'rejects' ? 'abandoned' : 'unknown';
+      expect((await ended).kind).toEqual(expected);
+      expect(servers[1]!.received.length).toEqual(0);
+    });
+  }
 });
