End the start when an address is in use

Cause: moleculer-web's start neither ends nor fails when its address is in use; a failure of the ready or metrics address set the exit code while timers kept the process alive, and one of the peer address was only logged. Such a process ran on. A failed second attempt to join the zone was never repeated.

An instance that has to join the zone again, and cannot, tries again.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers connect to, built on moleculer-web. */
 import {createCallerServer} from '@fireflytrack/callers';
 import type {CallerConnections} from '@fireflytrack/callers';
+import {once} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
 import type {ServiceBroker} from 'moleculer';
@@ -32,7 +33,12 @@
 }
 
 export class CallerServer {
-  private constructor(private readonly server: Server) {}
+  /** Resolves when the server listens; rejects when its address is in use. */
+  readonly listening: Promise<unknown>;
+
+  private constructor(private readonly server: Server) {
+    this.listening = once(server, 'listening');
+  }
 
   /** Registers the server with `broker`; it listens when the broker starts. */
   static create(
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -90,6 +90,8 @@
   private readonly readyServer: StatusServer;
   private readonly metricsServer: StatusServer | undefined;
   private stopping: Promise<void> | undefined;
+  /** Resolves with the reason when the process cannot join the fleet. */
+  readonly joinFailure: Promise<unknown>;
 
   private constructor(
     private readonly settings: GatewaySettings,
@@ -185,7 +187,10 @@
       },
       logger,
     });
+    let onJoinFailed: (error: unknown) => void = () => {};
+    this.joinFailure = new Promise(resolve => (onJoinFailed = resolve));
     this.zone = ZoneMember.create({
+      onJoinFailed,
       self: {
         instanceId: instance.id,
         lifeId: randomUUID(),
@@ -284,13 +289,15 @@
     return new GatewayProcess(settings, sources, logger);
   }
 
+  /** Rejects when one of its addresses is in use. */
   async start(): Promise<void> {
     this.policies.start();
     this.serverFollower.start();
     this.zone.start();
     await this.readyServer.start();
     await this.metricsServer?.start();
-    await this.broker.start();
+    // The start of moleculer-web never ends when its address is in use.
+    await Promise.all([this.broker.start(), this.callerServer.listening]);
     const startMs = Math.round(performance.now());
     this.logger.info('started', {startMs});
   }
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -43,6 +43,8 @@
   self: Leader;
   /** Delay of the first read of the table, in milliseconds. */
   startDelayMs?: number;
+  /** Called when the first attempt to join fails, as the address is in use. */
+  onJoinFailed?: (error: unknown) => void;
   table: TableService;
   rateBounds: RateBounds;
   retryBounds: RetryBounds;
@@ -104,14 +106,26 @@
   }
 
   start(): void {
-    this.tryJoin();
+    void this.tryJoin();
   }
 
-  private tryJoin(): void {
-    this.join().catch((error: unknown) => {
-      const reason = String(error);
-      this.options.logger.error('failed to join the zone', {reason});
-    });
+  private async tryJoin(): Promise<void> {
+    const {logger, onJoinFailed} = this.options;
+    const isFirst = !this.election;
+    while (!this.stopped) {
+      try {
+        await this.join();
+        return;
+      } catch (error) {
+        logger.error('failed to join the zone', {reason: String(error)});
+        // An instance that serves callers goes on without the zone.
+        if (isFirst) {
+          onJoinFailed?.(error);
+          return;
+        }
+        await sleep(TABLE_RETRY_MS);
+      }
+    }
   }
 
   /**
@@ -245,7 +259,7 @@
     this.election?.stop();
     this.limiter = undefined;
     await this.network?.stop();
-    if (!this.stopped) this.tryJoin();
+    await this.tryJoin();
   }
 
   private get followers(): LeaderFollower[] {
