Bound the memory of bodies; check keys again after the body

Cause: each body of up to 1 MiB is kept so that it can be sent again, and nothing bounded how many at once: 100 of them take 100 MB on a machine of 250 MB. A request's key was checked before its body was read, which may take until the deadline; a key withdrawn meanwhile was accepted.

Change: BodyMemory accounts for the bodies of all open requests, bounded by a quarter of the machine's memory (new setting memory_mb, from the platform's template). Beyond three quarters of the bound bodies are passed on as they arrive; beyond all of it further ones are refused as not run. After the body the admission is confirmed if the policy changed or is too old.

--- a/packages/gateway/src/lib/caller-body.ts
+++ b/packages/gateway/src/lib/caller-body.ts
@@ -2,13 +2,27 @@
 import {BodyBuffer, BodyStream} from '@fireflytrack/body';
 import type {RequestBody} from '@fireflytrack/upstream';
 import type {IncomingMessage} from 'node:http';
+import type {BodyReservation} from './body-memory.js';
 
 export type BodyResult =
   | {kind: 'read'; body: RequestBody}
   | {kind: 'too-large'}
   | {kind: 'too-slow'}
+  /** No memory is left for the body; no part of it was passed on. */
+  | {kind: 'no-memory'}
   | {kind: 'abandoned'};
 
+export interface BodyReadOptions {
+  maxBytes: number;
+  /** Monotonic time. */
+  deadlineAtMs: number;
+  /**
+   * Memory of the body. A stream releases it when it closes; otherwise the caller
+   * does, once the body is not needed any more.
+   */
+  reservation: BodyReservation;
+}
+
 // Bodies up to this size can be resent to another server in a retry.
 const MAX_BUFFERED_BYTES = 1_048_576;
 // Node.js may parse megabytes of one connection in one iteration of the event
@@ -16,15 +30,15 @@
 const MAX_CHUNKS_PER_TURN = 1024;
 
 /**
- * Reads the body, up to `deadlineAtMs` on the monotonic clock.
+ * Reads the body, up to `deadlineAtMs`.
  *
- * A body over 1 MiB becomes a stream. The stream fails when it exceeds
+ * A body over 1 MiB, or over the memory for bodies that are kept, becomes a
+ * stream. The stream fails when it exceeds
  * `maxBytes`; a declared length over `maxBytes` yields `too-large` at once.
  */
 export async function readRequestBody(
   request: IncomingMessage,
-  maxBytes: number,
-  deadlineAtMs: number,
+  options: BodyReadOptions,
 ): Promise<BodyResult> {
   const {headers} = request;
   const length = headers['content-length'];
@@ -32,8 +46,8 @@
   if (!chunked && (length === undefined || Number(length) === 0)) {
     return {kind: 'read', body: {kind: 'none'}};
   }
-  if (Number(length) > maxBytes) return {kind: 'too-large'};
-  return CallerBodyReader.start(request, maxBytes, deadlineAtMs).result;
+  if (Number(length) > options.maxBytes) return {kind: 'too-large'};
+  return CallerBodyReader.start(request, options).result;
 }
 
 /**
@@ -56,7 +70,7 @@
 
   private constructor(
     private readonly request: IncomingMessage,
-    private readonly maxBytes: number,
+    private readonly options: BodyReadOptions,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -65,11 +79,10 @@
 
   static start(
     request: IncomingMessage,
-    maxBytes: number,
-    deadlineAtMs: number,
+    options: BodyReadOptions,
   ): CallerBodyReader {
-    const reader = new CallerBodyReader(request, maxBytes);
-    reader.read(Math.max(0, deadlineAtMs - performance.now()));
+    const reader = new CallerBodyReader(request, options);
+    reader.read(Math.max(0, options.deadlineAtMs - performance.now()));
     return reader;
   }
 
@@ -88,18 +101,27 @@
     this.bytes += chunk.length;
     this.chunksInTurn += 1;
     if (this.chunksInTurn === MAX_CHUNKS_PER_TURN) this.yieldTurn();
+    const {maxBytes, reservation} = this.options;
     if (this.stream) {
-      if (this.bytes <= this.maxBytes) this.stream.append(chunk);
+      if (this.bytes <= maxBytes) this.stream.append(chunk);
       else this.stream.destroy(new Error('body over the limit'));
       return;
     }
     this.buffered.append(chunk);
-    if (this.bytes > this.maxBytes) this.settle({kind: 'too-large'});
-    else if (this.bytes > MAX_BUFFERED_BYTES) this.startStream();
+    if (this.bytes > maxBytes) {
+      this.settle({kind: 'too-large'});
+    } else if (
+      this.bytes > MAX_BUFFERED_BYTES ||
+      !reservation.keep(chunk.length)
+    ) {
+      if (reservation.stream()) this.startStream();
+      else this.settle({kind: 'no-memory'});
+    }
   }
 
   private startStream(): void {
     const {request} = this;
+    const {reservation} = this.options;
     const stream = BodyStream.create({
       pause: () => {
         this.isPausedByReader = true;
@@ -107,9 +129,13 @@
       },
       resume: () => {
         this.isPausedByReader = false;
+        reservation.shrinkToStream();
         this.resume();
       },
-      close: () => this.detach(),
+      close: () => {
+        reservation.release();
+        this.detach();
+      },
     });
     // Keeps an error before the first read from ending the process. The reader
     // gets it as well.
--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -22,6 +22,7 @@
   heldBack(): number;
   isZoneLeader(): boolean;
   storeCalls(): ReadonlyMap<string, number>;
+  bodyMemoryBytes(): number;
 }
 
 // Covers the latency objectives of the services, which are 1 to 5 seconds.
@@ -98,6 +99,11 @@
         'Whether this instance leads its zone.',
         () => Number(readers.isZoneLeader()),
       ],
+      [
+        'body_memory_bytes',
+        'Memory taken by the bodies of open requests.',
+        readers.bodyMemoryBytes,
+      ],
     ];
     for (const [name, help, read] of gauges) {
       new Gauge({
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -9,7 +9,6 @@
 import {RateLimitedLog, StateDump} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {CrashSuspects, KnownLimits, Upstream} from '@fireflytrack/upstream';
-import type {HeaderNames} from '@fireflytrack/upstream';
 import {
   CrashExchange,
   FeedRelay,
@@ -21,6 +20,13 @@
 import type {ServiceBroker} from 'moleculer';
 import {readClocks} from '@fireflytrack/time';
 import {CallerServer} from './caller-server.js';
+import {BodyMemory} from './body-memory.js';
+import {
+  chooseBodyMemoryBytes,
+  chooseFeedWaits,
+  chooseStartDelayMs,
+  toHeaderNames,
+} from './derived-settings.js';
 import {FreshnessLease} from './freshness-lease.js';
 import {GracefulStop} from './graceful-stop.js';
 import {RequestHandler} from './request-handler.js';
@@ -44,19 +50,9 @@
 // Longest wait of a relayed call. A leader responds earlier, when its own feed was
 // confirmed, which happens at the waits of [store].
 const RELAY_WAIT_MARGIN_MS = 100;
-// What a promise leaves for noticing a silent connection and reading again, and
-// the bounds of the waits that follow from it.
-const FEED_WAIT_RESERVE_MS = 1000;
-const MIN_FEED_WAIT_MS = 300;
-const MAX_FEED_WAIT_MS = 2000;
 // Longest wait of the first read of a feed for a leader, at the first start of the
 // fleet. Later starts read the store at once, since callers are waiting.
 const LEADER_WAIT_MS = 600;
-// When the fleet starts for the first time, instances join one after the other,
-// the large ones first: they become leaders, and the others find them. Otherwise
-// all would write the same rows at the same time.
-const FIRST_START_SPREAD_MS = 300;
-const MAX_FIRST_START_SPREAD_MS = 1500;
 // Margin for instances that are starting or restarting, which are counted only
 // some seconds later.
 const INSTANCE_COUNT_MARGIN = 1.15;
@@ -82,6 +78,7 @@
   private serverCallSentAt = readClocks();
   private readonly upstream: Upstream;
   private readonly limits: KnownLimits;
+  private readonly bodyMemory: BodyMemory;
   private readonly zone: ZoneMember;
   private readonly requestHandler: RequestHandler;
   private readonly broker: ServiceBroker;
@@ -133,6 +130,7 @@
     );
     const headerNames = toHeaderNames(settings);
     this.limits = KnownLimits.create(logger);
+    this.bodyMemory = BodyMemory.create(chooseBodyMemoryBytes(settings));
     const {hold_after: holdAfter, hold_ms: holdMs} = settings.crashes;
     const suspects = CrashSuspects.create({holdAfter, holdMs, logger});
     const crashExchange = CrashExchange.create(suspects);
@@ -240,6 +238,7 @@
       heldBack: () => this.upstream.heldBack,
       isZoneLeader: () => this.zone.isLeader,
       storeCalls: () => sources.storeCalls(),
+      bodyMemoryBytes: () => this.bodyMemory.usedBytes,
     });
     this.requestHandler = RequestHandler.create({
       connections: this.connections,
@@ -247,6 +246,7 @@
       policies: this.policies,
       upstream: this.upstream,
       limiter: this.zone,
+      bodyMemory: this.bodyMemory,
       headerNames,
       keyHeader: entry.key_header,
       keyScheme: entry.key_scheme,
@@ -360,21 +360,6 @@
   }
 }
 
-function toHeaderNames(settings: GatewaySettings): HeaderNames {
-  const {headers} = settings;
-  return {
-    requestId: headers.request_id,
-    deadlineMs: headers.deadline_ms,
-    expectedServer: headers.expected_server,
-    team: headers.team,
-    notExecuted: headers.not_executed,
-    signature: headers.signature,
-    serverLimit: headers.server_limit,
-    serverLeaving: headers.server_leaving,
-    retryAfter: headers.retry_after,
-  };
-}
-
 function createMetricsServer(
   settings: GatewaySettings,
   metrics: GatewayMetrics,
@@ -401,32 +386,3 @@
     tracing: false,
   });
 }
-
-/**
- * Chooses the longest waits of calls for changes. A connection that has gone
- * silent shows only at the end of one, which has to leave time for reading the
- * changes within the promises.
- */
-function chooseFeedWaits({store, promises}: GatewaySettings): {
-  policyMs: number;
-  serversMs: number;
-} {
-  const {policy_apply_ms, server_leave_ms = policy_apply_ms} = promises;
-  const derive = (promiseMs: number) =>
-    Math.max(
-      MIN_FEED_WAIT_MS,
-      Math.min(promiseMs - FEED_WAIT_RESERVE_MS, MAX_FEED_WAIT_MS),
-    );
-  return {
-    policyMs: store.policy_wait_ms ?? derive(policy_apply_ms),
-    serversMs: store.servers_wait_ms ?? derive(server_leave_ms),
-  };
-}
-
-/** Spreads the joins of a fleet that starts for the first time. */
-function chooseStartDelayMs({instance}: GatewaySettings): number {
-  if (instance.first_start !== 'true') return 0;
-  const spreadMs = FIRST_START_SPREAD_MS / (instance.processor_share ?? 1);
-  const delayMs = Math.min(spreadMs, MAX_FIRST_START_SPREAD_MS);
-  return delayMs * (0.5 + Math.random());
-}
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -52,6 +52,8 @@
     max_instances: count,
     /** Processor time of the machine for this process, in cores. */
     processor_share: absentIfEmpty(z.coerce.number().positive().optional()),
+    /** Memory that the machine has for this process. */
+    memory_mb: absentIfEmpty(z.coerce.number().positive().optional()),
     /** Whether the whole fleet starts for the first time. */
     first_start: absentIfEmpty(z.enum(['true', 'false']).default('false')),
   }),
--- a/packages/gateway/src/lib/request-admission.ts
+++ b/packages/gateway/src/lib/request-admission.ts
@@ -70,6 +70,23 @@
     return this.matchPolicy(request, startedAtMs);
   }
 
+  /**
+   * Checks an admitted request again that has waited since, as for its body: its
+   * key may be withdrawn, or not confirmed any more.
+   */
+  async confirm(
+    request: IncomingMessage,
+    startedAtMs: number,
+    admitted: AdmittedRequest,
+  ): Promise<Admission> {
+    const {policies, keyFreshnessMs} = this.options;
+    const isFresh = !admitted.team || policies.lease.ageMs() <= keyFreshnessMs;
+    if (isFresh && policies.current() === admitted.table) {
+      return {ok: true, value: admitted};
+    }
+    return this.admit(request, startedAtMs);
+  }
+
   /** Accepts a key only while the policy's confirmation is fresh enough. */
   private async requireFreshPolicy(
     request: IncomingMessage,
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -20,18 +20,24 @@
   UpstreamRequest,
 } from '@fireflytrack/upstream';
 import type {RateLimiter} from '@fireflytrack/zone';
+import type {BodyMemory} from './body-memory.js';
 import {readRequestBody} from './caller-body.js';
+import type {BodyResult} from './caller-body.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {DEFAULT_RETRY_AFTER_MS} from './rejection.js';
 import type {Rejection} from './rejection.js';
 import {RequestAdmission} from './request-admission.js';
-import type {RequestAdmissionOptions} from './request-admission.js';
+import type {
+  AdmittedRequest,
+  RequestAdmissionOptions,
+} from './request-admission.js';
 import {sendUpstreamResponse, sendRejection} from './send-response.js';
 
 export interface RequestHandlerOptions extends RequestAdmissionOptions {
   connections: CallerConnections;
   upstream: Upstream;
   limiter: RateLimiter;
+  bodyMemory: BodyMemory;
   metrics: GatewayMetrics;
   log: RateLimitedLog;
 }
@@ -167,29 +173,69 @@
     if (this.refusing) return createStopRejection();
     const admission = await this.admission.admit(request, trace.startedAtMs);
     if (!admission.ok) return admission.value;
-    const {route, team, table, deadlineAtMs} = admission.value;
+    const {route} = admission.value;
     trace.route = route;
-    trace.team = team;
-    if (!this.fitsBeforeStop(route, deadlineAtMs)) return createStopRejection();
-    openRequest.phase = 'body';
-    const read = await readRequestBody(
-      request,
-      table.policy.callerLimits.maxBodyBytes,
-      deadlineAtMs,
-    );
-    if (read.kind === 'too-large') {
-      return {code: 'body-too-large', reason: 'body over the limit'};
+    trace.team = admission.value.team;
+    if (!this.fitsBeforeStop(route, admission.value.deadlineAtMs)) {
+      return createStopRejection();
     }
-    if (read.kind === 'too-slow') {
-      // The unread rest of the body would precede the next request.
-      this.options.connections
-        .getOrCreate(request.socket)
-        .closeAfter(openRequest);
-      return {code: 'body-too-slow', reason: 'the body took too long'};
+    const reservation = this.options.bodyMemory.open();
+    try {
+      openRequest.phase = 'body';
+      const read = await readRequestBody(request, {
+        maxBytes: admission.value.table.policy.callerLimits.maxBodyBytes,
+        deadlineAtMs: admission.value.deadlineAtMs,
+        reservation,
+      });
+      if (read.kind !== 'read') return this.rejectUnread(read, openRequest);
+      // The key may have been withdrawn while the body came.
+      const confirmed = await this.admission.confirm(
+        request,
+        trace.startedAtMs,
+        admission.value,
+      );
+      if (!confirmed.ok) {
+        discardBody(read.body);
+        return confirmed.value;
+      }
+      const {body} = read;
+      return await this.forward(request, body, openRequest, confirmed.value);
+    } finally {
+      // A stream releases its memory when it closes.
+      if (!reservation.isStreamed) reservation.release();
     }
-    if (read.kind === 'abandoned') {
-      return {kind: 'abandoned', attempts: [], turnedAway: []};
+  }
+
+  /** Ends a request whose body could not be read; no server was sent it. */
+  private rejectUnread(
+    {kind}: Exclude<BodyResult, {kind: 'read'}>,
+    openRequest: OpenRequest,
+  ): UpstreamOutcome | Rejection {
+    switch (kind) {
+      case 'abandoned':
+        return {kind: 'abandoned', attempts: [], turnedAway: []};
+      case 'too-large':
+        return {code: 'body-too-large', reason: 'body over the limit'};
+      case 'no-memory': {
+        const reason = 'no memory left for the body';
+        return {code: 'not-run', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS};
+      }
+      case 'too-slow':
+        // The unread rest of the body would precede the next request.
+        this.options.connections
+          .getOrCreate(openRequest.response.req.socket)
+          .closeAfter(openRequest);
+        return {code: 'body-too-slow', reason: 'the body took too long'};
     }
+  }
+
+  /** Takes one request of the team's rate and sends the request to a server. */
+  private async forward(
+    request: IncomingMessage,
+    body: RequestBody,
+    openRequest: OpenRequest,
+    {route, team, table, deadlineAtMs}: AdmittedRequest,
+  ): Promise<UpstreamOutcome | Rejection> {
     openRequest.phase = 'rate-limit';
     const limited = await this.checkRateLimit(team);
     if (limited) return limited;
@@ -206,7 +252,7 @@
     const outcome = await this.options.upstream.run({
       route: route.name,
       service,
-      request: this.toUpstreamRequest(request, read.body),
+      request: this.toUpstreamRequest(request, body),
       team: team?.name,
       rank: team?.rank ?? route.rank,
       isIdempotent: route.execution === 'idempotent',
@@ -217,7 +263,7 @@
     });
     if (team && outcome.kind === 'not-run') this.options.limiter.refund(team);
     // After a response, a server may still be reading the body.
-    if (outcome.kind !== 'answered') discardBody(read.body);
+    if (outcome.kind !== 'answered') discardBody(body);
     return outcome;
   }
 
--- a/packages/gateway/src/test/caller-body_test.ts
+++ b/packages/gateway/src/test/caller-body_test.ts
@@ -3,7 +3,9 @@
 import type {IncomingMessage} from 'node:http';
 import {PassThrough} from 'node:stream';
 import {describe, it} from 'node:test';
+import {BodyMemory, STREAM_BYTES} from '../lib/body-memory.js';
 import {readRequestBody} from '../lib/caller-body.js';
+import type {BodyReadOptions} from '../lib/caller-body.js';
 
 const MAX_BYTES = 1000;
 const WAIT_MS = 30;
@@ -15,14 +17,21 @@
     IncomingMessage;
 }
 
+function limits(
+  maxBytes: number,
+  deadlineAtMs: number,
+  memory = BodyMemory.create(Infinity),
+): BodyReadOptions {
+  return {maxBytes, deadlineAtMs, reservation: memory.open()};
+}
+
 describe('caller body', () => {
   it('is abandoned when it is incomplete at the deadline', async () => {
     const request = fakeRequest({'content-length': '10'});
     request.write('half');
     const read = await readRequestBody(
       request,
-      MAX_BYTES,
-      performance.now() + WAIT_MS,
+      limits(MAX_BYTES, performance.now() + WAIT_MS),
     );
     expect(read).toEqual({kind: 'too-slow'});
   });
@@ -33,8 +42,7 @@
     setImmediate(() => request.end('two'));
     const read = await readRequestBody(
       request,
-      MAX_BYTES,
-      performance.now() + 2000,
+      limits(MAX_BYTES, performance.now() + 2000),
     );
     expect(read).toEqual({
       kind: 'read',
@@ -47,8 +55,7 @@
   async function readStream(maxBytes: number, send: () => PassThrough) {
     const read = await readRequestBody(
       send() as PassThrough & IncomingMessage,
-      maxBytes,
-      performance.now() + 2000,
+      limits(maxBytes, performance.now() + 2000),
     );
     if (read.kind !== 'read' || read.body.kind !== 'stream') return read.kind;
     const pieces: Buffer[] = [];
@@ -108,8 +115,7 @@
     setImmediate(countTurn);
     const reading = readRequestBody(
       request,
-      CHUNKS,
-      performance.now() + 2000,
+      limits(CHUNKS, performance.now() + 2000),
     ).finally(() => (isRead = true));
     for (let count = 0; count < CHUNKS; count += 1) request.push('x');
     request.push(null);
@@ -117,4 +123,73 @@
     expect(read.kind === 'read' && read.body.kind).toEqual('buffered');
     expect(turns > 10).toEqual(true);
   });
+
+  // Many uploads at once must not take the memory of the instance.
+  describe('of many requests', () => {
+    const REQUESTS = 100;
+    const BODY_BYTES = 900_000;
+    const MEMORY_BYTES = 16_000_000;
+
+    async function readAll(memory: BodyMemory) {
+      const reading = Array.from({length: REQUESTS}, async () => {
+        const request = fakeRequest({'transfer-encoding': 'chunked'});
+        const options = limits(BODY_BYTES, performance.now() + 2000, memory);
+        const result = readRequestBody(request, options);
+        // All bodies arrive at the same pace.
+        for (let sent = 0; sent < BODY_BYTES; sent += 10_000) {
+          request.write(Buffer.alloc(10_000, 'abc'));
+          await new Promise(setImmediate);
+        }
+        request.end();
+        return {result: await result, reservation: options.reservation};
+      });
+      return Promise.all(reading);
+    }
+
+    it('stays within the memory for bodies', async () => {
+      const memory = BodyMemory.create(MEMORY_BYTES);
+      const reads = await readAll(memory);
+      expect(memory.usedBytes <= MEMORY_BYTES).toEqual(true);
+      const kinds = reads.map(({result}) =>
+        result.kind === 'read' ? result.body.kind : result.kind,
+      );
+      const count = (kind: string) => kinds.filter(k => k === kind).length;
+      // Those that can't be kept are passed on while there is memory for that.
+      expect(count('stream') > 0).toEqual(true);
+      expect(count('no-memory') > 0).toEqual(true);
+      expect(count('stream') + count('no-memory') + count('buffered')).toEqual(
+        REQUESTS,
+      );
+    });
+
+    it('gives back the memory of each', async () => {
+      const memory = BodyMemory.create(MEMORY_BYTES);
+      const reads = await readAll(memory);
+      for (const {result, reservation} of reads) {
+        if (result.kind === 'read' && result.body.kind === 'stream') {
+          result.body.stream.destroy();
+        } else {
+          reservation.release();
+        }
+      }
+      await new Promise(setImmediate);
+      expect(memory.usedBytes).toEqual(0);
+    });
+
+    it('arrive whole when they are passed on for lack of memory', async () => {
+      const memory = BodyMemory.create(STREAM_BYTES);
+      const request = fakeRequest({'transfer-encoding': 'chunked'});
+      const options = limits(BODY_BYTES, performance.now() + 2000, memory);
+      const bytes = Buffer.alloc(BODY_BYTES, 'abc');
+      request.end(bytes);
+      const read = await readRequestBody(request, options);
+      if (read.kind !== 'read' || read.body.kind !== 'stream') {
+        throw new Error(`expected a stream, got ${read.kind}`);
+      }
+      const pieces: Buffer[] = [];
+      for await (const piece of read.body.stream) pieces.push(piece as Buffer);
+      expect(Buffer.compare(Buffer.concat(pieces), bytes)).toEqual(0);
+      expect(memory.usedBytes).toEqual(0);
+    });
+  });
 });
--- a/packages/gateway/src/testing/endless-entry.ts
+++ b/packages/gateway/src/testing/endless-entry.ts
@@ -11,6 +11,7 @@
 import moleculer from 'moleculer';
 import {addAbortSignal} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
+import {BodyMemory} from '../lib/body-memory.js';
 import {CallerServer} from '../lib/caller-server.js';
 import {GatewayMetrics} from '../lib/gateway-metrics.js';
 import type {PolicyHolder} from '../lib/policy-holder.js';
@@ -26,6 +27,7 @@
   residentBytes: number;
 }
 
+const BODY_MEMORY_BYTES = 64_000_000;
 const MAX_BODY_BYTES = 4_000_000;
 const SLOW_MS = 200;
 
@@ -75,6 +77,7 @@
     connections,
     policies,
     upstream: {run: runAtServer},
+    bodyMemory: BodyMemory.create(BODY_MEMORY_BYTES),
     limiter: {admit: async () => ({admitted: true}), refund: () => {}},
     headerNames: {
       requestId: 'request-id',
@@ -109,6 +112,7 @@
       heldBack: () => 0,
       isZoneLeader: () => false,
       storeCalls: () => new Map(),
+      bodyMemoryBytes: () => 0,
     }),
     log: RateLimitedLog.create({logger, linesPerSecond: 5}),
   } as unknown as RequestHandlerOptions;
