Withhold failing servers from one-time requests while few requests fail

Change: only servers that are avoided or withheld now count as unused; those whose trial is due first are left out when there are too many. Failed trials are forgotten after 10 s without a report.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -143,6 +143,7 @@
       headerNames,
       retryBudgetFor: service => this.zone.retryBudgetFor(service),
       instances: () => this.estimatedInstances,
+      countedInstances: () => this.zone.instances,
       connectionLimitOf: service =>
         this.policies.current()?.findService(service)?.maxConnectionsPerServer,
       floorShare: promises.floor_share,
--- a/packages/proofs/src/lib/gateway-fleet.ts
+++ b/packages/proofs/src/lib/gateway-fleet.ts
@@ -133,6 +133,7 @@
     });
     const state = ServiceState.create({
       name: SERVICE,
+      countedInstances: () => this.instances.length,
       budget: {recordRequest: () => {}, takeRetry: async () => false},
       floorShare: this.options.floorShare,
       distanceOf: record => picker.distancePenalty(record),
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -299,6 +299,7 @@
   private conclude(deadlineReason?: string): UpstreamOutcome {
     const reports = this.collectReports();
     if (this.fallback) return {kind: 'answered', ...this.fallback, ...reports};
+    this.context.state.recordUnserved();
     const {mayHaveBeenSent} = this;
     const reason = deadlineReason ?? this.lastReason;
     if (deadlineReason !== undefined && (mayHaveBeenSent || this.mayHaveRun)) {
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -21,6 +21,9 @@
 // and four times as long after failed trials, where the floor allows it.
 const ONCE_TRIAL_MS = 2000;
 const MAX_ONCE_TRIAL_DOUBLINGS = 2;
+// All instances learn of each failure. A server that nobody has reported for so
+// long has probably recovered, whether this instance has used it since or not.
+const FAILED_TRIALS_MEMORY_MS = 10_000;
 // An instance that learned of a failure from another avoids the server longer, by
 // a random share of the duration between these bounds, so that not all instances
 // make the trial at once.
@@ -114,9 +117,9 @@
     return this.needsTrial && !this.isAvoided(nowMs);
   }
 
-  /** Whether it is avoided, or on trial. */
-  isUntrusted(nowMs: number): boolean {
-    return this.needsTrial || this.isAvoided(nowMs);
+  /** Whether one-time requests don't make its trial yet. */
+  isWithheld(nowMs: number): boolean {
+    return this.isOnTrial(nowMs) && nowMs < this.onceTrialAtMs;
   }
 
   isWarm(nowMs: number): boolean {
@@ -182,7 +185,12 @@
         ? REPORTED_DELAY_MIN +
           (REPORTED_DELAY_MAX - REPORTED_DELAY_MIN) * this.random()
         : 0;
-    if (this.needsTrial && kind !== 'rejected') this.failedTrials += 1;
+    // Other instances have used it meanwhile, or nobody had a reason to.
+    if (nowMs - this.avoidedAtMs > FAILED_TRIALS_MEMORY_MS) {
+      this.failedTrials = 0;
+    } else if (this.needsTrial && kind !== 'rejected') {
+      this.failedTrials += 1;
+    }
     this.avoidedAtMs = nowMs;
     this.avoidUntilMs = nowMs + AVOIDANCE_MS * (1 + delayShare);
     this.needsTrial = true;
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -1,11 +1,14 @@
 /** State of one service's servers, as observed by this process. */
 import type {Logger} from '@fireflytrack/telemetry';
 import type {RetryBudget} from './retry-budget.js';
+import {FailureShare} from './failure-share.js';
 import type {FailureKind, ServerRecord} from './server-record.js';
 
 export interface ServiceStateOptions {
   name: string;
   budget: RetryBudget;
+  /** Number of instances in the fleet, if it was counted. */
+  countedInstances(): number | undefined;
   /** Minimum share of the servers that stays in use even if they fail. */
   floorShare: number;
   /** Relative distance of a server; larger is farther. */
@@ -33,6 +36,10 @@
   'error-status',
 ]);
 
+// Operators require the floor while more than a tenth of the requests to a service
+// fail; the rest of the tenth is for errors of the estimate.
+const FEW_FAILURES_SHARE = 0.08;
+
 const NO_SERVERS: ReadonlySet<ServerRecord> = new Set();
 
 /** What an instance believes about servers; each server counts once. */
@@ -52,8 +59,11 @@
   /** Avoidances that the floor ended early. */
   readmissions = 0;
   private typicalMs: number | undefined;
+  private readonly failureShare: FailureShare;
 
-  private constructor(private readonly options: ServiceStateOptions) {}
+  private constructor(private readonly options: ServiceStateOptions) {
+    this.failureShare = FailureShare.create(() => options.countedInstances());
+  }
 
   static create(options: ServiceStateOptions): ServiceState {
     return new ServiceState(options);
@@ -86,15 +96,22 @@
     const baselineMs = this.baselineMs(targetLatencyMs);
     this.typicalMs = baselineMs + (latencyMs - baselineMs) * BASELINE_WEIGHT;
     record.latency.add(latencyMs, baselineMs);
+    this.failureShare.recordEnd(true);
   }
 
   recordFailure(record: ServerRecord, kind: FailureKind, reason: string): void {
+    this.failureShare.recordEnd(false);
     const isNewAvoidance = this.applyFailure(record, kind, reason);
     if (!isNewAvoidance || !REPORTED_FAILURE_KINDS.has(kind)) return;
     const failedTrial = record.isConfirmedFailing(performance.now());
     this.options.onFailure(record.serverId, failedTrial);
   }
 
+  /** Records a request that ended without an answer of a server. */
+  recordUnserved(): void {
+    this.failureShare.recordEnd(false);
+  }
+
   /** Classifies a complete response that reports a server error. */
   classifyError(latencyMs: number, targetLatencyMs: number): FailureKind {
     const typicalMs = this.baselineMs(targetLatencyMs);
@@ -115,6 +132,7 @@
     kind: FailureKind,
     reason: string,
   ): boolean {
+    this.failureShare.recordServerFailure();
     if (!record.recordFailure(kind)) return false;
     const {name, logger} = this.options;
     logger.info('server avoided', {
@@ -129,20 +147,27 @@
   }
 
   /**
-   * Servers whose trial should not be made by a one-time request yet. There are
-   * none while more servers are avoided or on trial than the floor leaves unused,
-   * since all of them may have recovered.
+   * Servers whose trial should not be made by a one-time request yet. Those whose
+   * trial is due first are left out when more servers would be unused than the
+   * floor allows, since all of them may have recovered. The floor counts only
+   * while many requests fail.
    */
   findWithheld(): ReadonlySet<ServerRecord> {
     const nowMs = performance.now();
-    const waiting = this.records.filter(
-      record => record.isOnTrial(nowMs) && nowMs < record.onceTrialAtMs,
-    );
-    if (waiting.length === 0) return NO_SERVERS;
+    const withheld = this.records.filter(record => record.isWithheld(nowMs));
+    if (withheld.length === 0) return NO_SERVERS;
     const staying = this.records.filter(({signals}) => !signals.isLeaving);
-    const untrusted = staying.filter(record => record.isUntrusted(nowMs));
-    const maxUnused = staying.length * (1 - this.options.floorShare);
-    return untrusted.length <= maxUnused ? new Set(waiting) : NO_SERVERS;
+    const avoided = staying.filter(record => record.isAvoided(nowMs)).length;
+    const maxUnusedShare =
+      this.failureShare.read() <= FEW_FAILURES_SHARE
+        ? MAX_AVOIDED_SHARE
+        : 1 - this.options.floorShare;
+    const maxUnused = Math.floor(staying.length * maxUnusedShare);
+    return new Set(
+      withheld
+        .sort((a, b) => b.onceTrialAtMs - a.onceTrialAtMs)
+        .slice(0, Math.max(0, maxUnused - avoided)),
+    );
   }
 
   countBeliefs(): ServerBeliefs {
--- a/packages/upstream/src/lib/upstream.ts
+++ b/packages/upstream/src/lib/upstream.ts
@@ -35,6 +35,8 @@
   retryBudgetFor(service: string): RetryBudget;
   /** Upper estimate of the running instances. */
   instances(): number;
+  /** The same, if they were counted. */
+  countedInstances(): number | undefined;
   /** Connections that a server of `service` accepts from all instances together. */
   connectionLimitOf(service: string): number | undefined;
   /** Minimum share of a service's servers that stays in use. */
@@ -202,6 +204,7 @@
     if (!state) {
       const {
         retryBudgetFor: repeatBudgetOf,
+        countedInstances,
         floorShare,
         onFailure,
         logger,
@@ -209,6 +212,7 @@
       state = ServiceState.create({
         name,
         budget: repeatBudgetOf(name),
+        countedInstances,
         floorShare,
         distanceOf: record => this.picker.distancePenalty(record),
         onFailure: (serverId, failedTrial) =>
--- a/packages/upstream/src/test/server-record_test.ts
+++ b/packages/upstream/src/test/server-record_test.ts
@@ -81,6 +81,18 @@
     expect(record.onceTrialAtMs - performance.now()).toEqual(2000);
   });
 
+  // A server that fails now and then has no long bout, and its next trial is due
+  // as soon as that of any other.
+  it('forgets failed trials when nobody reports the server for long', () => {
+    const record = recordIn('z1');
+    record.recordFailure('reported');
+    clock.tick(2500);
+    record.recordFailure('reported');
+    clock.tick(12_000);
+    record.recordFailure('reported');
+    expect(record.onceTrialAtMs - performance.now()).toEqual(2000);
+  });
+
   it('counts simultaneous failures as one', () => {
     const record = recordIn('z1');
     record.recordFailure('error-status');
--- a/packages/upstream/src/testing/scripted-upstream.ts
+++ b/packages/upstream/src/testing/scripted-upstream.ts
@@ -48,6 +48,7 @@
         takeRetry: async () => true,
       }),
       instances: () => 1,
+      countedInstances: () => 1,
       connectionLimitOf: () => 10,
       floorShare: 0.7,
       onFailure: failure => this.failures.push(failure),
