Don't blame servers for routes that never answer in time

Cause: each request that missed its deadline took its server out of use for the whole fleet. A caller that leaves little time had the same effect.

Change: a miss is a fault of the server only if the route's responses normally take less than half of the time that the server had; it says nothing if the time was shorter; of a route without a response in the last minute it concerns this instance only.

--- a/packages/proofs/src/lib/gateway-fleet.ts
+++ b/packages/proofs/src/lib/gateway-fleet.ts
@@ -221,7 +221,7 @@
       record.inFlight -= 1;
       this.requests.push({sentAtMs, served});
       if (served) {
-        state.recordResponse(record, tookMs, TARGET_LATENCY_MS);
+        state.recordResponse(record, SERVICE, tookMs, TARGET_LATENCY_MS);
         record.recordSuccess();
         return;
       }
--- a/packages/upstream/src/lib/request-run.ts
+++ b/packages/upstream/src/lib/request-run.ts
@@ -270,10 +270,10 @@
     const {state} = this.context;
     const {serverId} = record;
     const {status} = response;
-    const {targetLatencyMs} = this.options;
+    const {route, targetLatencyMs} = this.options;
     const latencyMs = performance.now() - startedAtMs;
     if (isProcessedStatus(status)) {
-      state.recordResponse(record, latencyMs, targetLatencyMs);
+      state.recordResponse(record, route, latencyMs, targetLatencyMs);
       record.recordSuccess();
       if (response.kind === 'buffered') this.guard.recordSuccess();
       else response.body.once('end', () => this.guard.recordSuccess());
@@ -303,12 +303,10 @@
     const {mayHaveBeenSent} = this;
     const reason = deadlineReason ?? this.lastReason;
     if (deadlineReason !== undefined && (mayHaveBeenSent || this.mayHaveRun)) {
-      for (const {record} of this.running) {
-        this.context.state.recordFailure(
-          record,
-          'fault',
-          'no answer by the deadline',
-        );
+      const nowMs = performance.now();
+      for (const {record, startedAtMs} of this.running) {
+        const waitedMs = nowMs - startedAtMs;
+        this.context.state.recordMiss(record, this.options.route, waitedMs);
       }
       return {kind: 'deadline', ...reports};
     }
--- a/packages/upstream/src/lib/server-record.ts
+++ b/packages/upstream/src/lib/server-record.ts
@@ -43,6 +43,8 @@
 export type FailureKind =
   /** Reset, timeout, malformed response or response to another request. */
   | 'fault'
+  /** No response by the deadline, of a route that had none here lately. */
+  | 'unproven-miss'
   /** A complete response that reports a server error immediately. */
   | 'error-status'
   /** The same after a typical processing time, so the request may be the cause. */
@@ -56,6 +58,7 @@
 
 const STRIKES_BY_KIND: Record<FailureKind, number> = {
   fault: 1,
+  'unproven-miss': 1,
   'error-status': 1,
   'late-error-status': 0.4,
   reported: 1,
--- a/packages/upstream/src/lib/service-state.ts
+++ b/packages/upstream/src/lib/service-state.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@fireflytrack/telemetry';
 import type {RetryBudget} from './retry-budget.js';
 import {FailureShare} from './failure-share.js';
+import {RouteLatencies} from './route-latencies.js';
 import type {FailureKind, ServerRecord} from './server-record.js';
 
 export interface ServiceStateOptions {
@@ -59,6 +60,7 @@
   /** Avoidances that the floor ended early. */
   readmissions = 0;
   private typicalMs: number | undefined;
+  private readonly routes = RouteLatencies.create();
   private readonly failureShare: FailureShare;
 
   private constructor(private readonly options: ServiceStateOptions) {
@@ -90,9 +92,11 @@
   /** Records the latency of a successful response. */
   recordResponse(
     record: ServerRecord,
+    route: string,
     latencyMs: number,
     targetLatencyMs: number,
   ): void {
+    this.routes.recordResponse(route, latencyMs);
     const baselineMs = this.baselineMs(targetLatencyMs);
     this.typicalMs = baselineMs + (latencyMs - baselineMs) * BASELINE_WEIGHT;
     record.latency.add(latencyMs, baselineMs);
@@ -107,6 +111,14 @@
     this.options.onFailure(record.serverId, failedTrial);
   }
 
+  /** Records that a server did not respond by the deadline of a request. */
+  recordMiss(record: ServerRecord, route: string, waitedMs: number): void {
+    const cause = this.routes.findMissCause(route, waitedMs);
+    if (cause === 'deadline') return;
+    const kind = cause === 'server' ? 'fault' : 'unproven-miss';
+    this.recordFailure(record, kind, 'no answer by the deadline');
+  }
+
   /** Records a request that ended without an answer of a server. */
   recordUnserved(): void {
     this.failureShare.recordEnd(false);
--- a/packages/upstream/src/test/request-run_test.ts
+++ b/packages/upstream/src/test/request-run_test.ts
@@ -250,6 +250,14 @@
     expect(outcome.kind).toEqual('deadline');
   });
 
+  // Guards against a route that no server can serve in time and that takes one
+  // server after the other out of use for the whole fleet.
+  it('reports no server whose request of an unknown route missed its deadline', async () => {
+    await start(() => {});
+    await run({deadlineAtMs: performance.now() + 100});
+    expect(scripted.failures).toEqual([]);
+  });
+
   it('closes the connection of an idempotent request whose caller disconnected', async () => {
     await start(() => {});
     const abandoned = new AbortController();
--- a/packages/upstream/src/test/service-state_test.ts
+++ b/packages/upstream/src/test/service-state_test.ts
@@ -143,7 +143,7 @@
   // ask for.
   it('withholds up to half of the servers while few requests fail', () => {
     for (let count = 0; count < 100; count += 1) {
-      state.recordResponse(state.records.at(-1)!, 100, 1000);
+      state.recordResponse(state.records.at(-1)!, 'reads', 100, 1000);
     }
     failFirst(MAX_SUSPECTED + 1);
     const withheld = state.findWithheld().size;
@@ -154,7 +154,7 @@
   for (const cause of ['requests end without an answer', 'nobody counted']) {
     it(`keeps to the floor when ${cause}`, () => {
       for (let count = 0; count < 100; count += 1) {
-        state.recordResponse(state.records.at(-1)!, 100, 1000);
+        state.recordResponse(state.records.at(-1)!, 'reads', 100, 1000);
       }
       if (cause === 'nobody counted') instances = undefined;
       else for (let count = 0; count < 15; count += 1) state.recordUnserved();
@@ -163,6 +163,44 @@
     });
   }
 
+  describe('no response by the deadline', () => {
+    const WORK_MS = 200;
+    let record: ServerRecord;
+    beforeEach(() => {
+      record = state.records[0]!;
+      for (let count = 0; count < 20; count += 1) {
+        state.recordResponse(state.records.at(-1)!, 'reads', WORK_MS, 1000);
+      }
+    });
+
+    it('is reported of a server whose route is normally fast', () => {
+      state.recordMiss(record, 'reads', 1000);
+      expect(avoided()).toEqual([record.serverId]);
+      expect(reported).toEqual([`${record.serverId} false`]);
+    });
+
+    // Guards against sound servers that callers with little time take out of use.
+    it('says nothing when the caller left little time', () => {
+      state.recordMiss(record, 'reads', WORK_MS * 1.5);
+      expect(avoided()).toEqual([]);
+      expect(reported).toEqual([]);
+    });
+
+    // Guards against a route that never gets a response and takes one server after
+    // the other out of use for the whole fleet.
+    it('concerns this instance only if the route never had a response', () => {
+      state.recordMiss(record, 'reports', 1000);
+      expect(avoided()).toEqual([record.serverId]);
+      expect(reported).toEqual([]);
+    });
+
+    it('concerns this instance only if the last response was long ago', () => {
+      clock.tick(61_000);
+      state.recordMiss(record, 'reads', 1000);
+      expect(reported).toEqual([]);
+    });
+  });
+
   it('never avoids more than half of the servers', () => {
     for (let round = 0; round < 6; round += 1) {
       for (const record of state.records) {
