Keep the last count of the fleet while no leader is known

Cause: without a known leader an instance fell back to max_instances (150), by which it divides connections and limits of servers, also when 292 instances had been counted a moment before: a part twice too large.

Change: InstanceEstimate keeps the last count; without a leader the larger of it and max_instances holds.

Conclusion: only the time before the first count is left to the setting.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -31,6 +31,7 @@
 import {GracefulStop} from './graceful-stop.js';
 import {RequestHandler} from './request-handler.js';
 import type {GatewaySettings} from './gateway-settings.js';
+import {InstanceEstimate} from './instance-estimate.js';
 import {PolicyHolder, RELAY_AGE_MARGIN_MS} from './policy-holder.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {StatusServer} from './status-server.js';
@@ -53,9 +54,6 @@
 // Longest wait of the first read of a feed for a leader, at the first start of the
 // fleet. Later starts read the store at once, since callers are waiting.
 const LEADER_WAIT_MS = 600;
-// Margin for instances that are starting or restarting, which are counted only
-// some seconds later.
-const INSTANCE_COUNT_MARGIN = 1.15;
 // Keys are refused this long before `revocation_ms` is reached, to allow for
 // differing clock rates.
 const REVOCATION_MARGIN_MS = 500;
@@ -78,6 +76,7 @@
   private serverCallSentAt = readClocks();
   private readonly upstream: Upstream;
   private readonly limits: KnownLimits;
+  private readonly instances: InstanceEstimate;
   private readonly bodyMemory: BodyMemory;
   private readonly zone: ZoneMember;
   private readonly requestHandler: RequestHandler;
@@ -130,6 +129,10 @@
     );
     const headerNames = toHeaderNames(settings);
     this.limits = KnownLimits.create(logger);
+    this.instances = InstanceEstimate.create(
+      instance.max_instances,
+      () => this.zone.instances,
+    );
     this.bodyMemory = BodyMemory.create(chooseBodyMemoryBytes(settings));
     const {hold_after: holdAfter, hold_ms: holdMs} = settings.crashes;
     const suspects = CrashSuspects.create({holdAfter, holdMs, logger});
@@ -142,7 +145,7 @@
       regionOf: zone => instance.zones.get(zone),
       headerNames,
       retryBudgetFor: service => this.zone.retryBudgetFor(service),
-      instances: () => this.estimatedInstances,
+      instances: () => this.instances.read(),
       countedInstances: () => this.zone.instances,
       connectionLimitOf: service =>
         this.policies.current()?.findService(service)?.maxConnectionsPerServer,
@@ -213,7 +216,7 @@
       },
       findTeam: name => this.policies.current()?.findTeam(name),
       limits: this.limits,
-      estimateInstances: () => this.estimatedInstances,
+      estimateInstances: () => this.instances.read(),
       relays: [
         {feed: policyFeed, relay: this.policies.relay},
         {feed: serverFeed, relay: serverRelay},
@@ -318,13 +321,6 @@
     return this.stopping;
   }
 
-  /** Upper estimate of the running instances, including those not counted yet. */
-  private get estimatedInstances(): number {
-    const counted = this.zone.instances;
-    if (counted === undefined) return this.settings.instance.max_instances;
-    return Math.ceil(counted * INSTANCE_COUNT_MARGIN) + 1;
-  }
-
   private get keyFreshnessMs(): number {
     return this.settings.promises.revocation_ms - REVOCATION_MARGIN_MS;
   }
