Count requests in buckets, and test the share of failures

Cause: read-through: each event was a number in an array that was copied at each event once 1,024 were in it, that is from 100 requests a second.

Change: counts of twentieths of the window; failure-share_test.

Conclusion: no change of behaviour.

--- a/packages/upstream/src/lib/failure-share.ts
+++ b/packages/upstream/src/lib/failure-share.ts
@@ -4,16 +4,18 @@
  * report faults of servers only, so that the share of the instance's own requests
  * that were not served counts as well.
  */
+
 const REQUESTS_WINDOW_MS = 10_000;
 const FAILURES_WINDOW_MS = 2000;
+const BUCKETS = 20;
+const MS_PER_SECOND = 1000;
 // Up to this share, the few requests of one instance say little.
 const MAX_OWN_SHARE = 0.1;
-const MAX_TIMES = 1024;
 
 export class FailureShare {
-  private readonly requests = RecentTimes.create(REQUESTS_WINDOW_MS);
-  private readonly unserved = RecentTimes.create(REQUESTS_WINDOW_MS);
-  private readonly failures = RecentTimes.create(FAILURES_WINDOW_MS);
+  private readonly requests = RecentCount.create(REQUESTS_WINDOW_MS);
+  private readonly unserved = RecentCount.create(REQUESTS_WINDOW_MS);
+  private readonly failures = RecentCount.create(FAILURES_WINDOW_MS);
 
   private constructor(private readonly instances: () => number | undefined) {}
 
@@ -25,13 +27,13 @@
   /** Records the end of a request, or of an attempt, of this instance. */
   recordEnd(isServed: boolean): void {
     const nowMs = performance.now();
-    this.requests.add(nowMs);
-    if (!isServed) this.unserved.add(nowMs);
+    this.requests.increment(nowMs);
+    if (!isServed) this.unserved.increment(nowMs);
   }
 
   /** Records a failure of a server that this or another instance observed. */
   recordServerFailure(): void {
-    this.failures.add(performance.now());
+    this.failures.increment(performance.now());
   }
 
   /** Returns the share; 1 while it is not known. */
@@ -54,29 +56,35 @@
   return whole === 0 ? Infinity : part / whole;
 }
 
-/** Counts events within a time before now. */
-class RecentTimes {
-  private times: number[] = [];
+/** Counts events of a time before now, to one of its twentieths. */
+class RecentCount {
+  private readonly counts = new Array<number>(BUCKETS).fill(0);
+  /** Number of the newest bucket since time zero. */
+  private newest = 0;
 
   private constructor(private readonly windowMs: number) {}
 
-  static create(windowMs: number): RecentTimes {
-    return new RecentTimes(windowMs);
+  static create(windowMs: number): RecentCount {
+    return new RecentCount(windowMs);
   }
 
-  add(nowMs: number): void {
-    this.times.push(nowMs);
-    // Bounds the memory of a service whose rate nobody reads.
-    if (this.times.length >= MAX_TIMES) this.prune(nowMs);
+  increment(nowMs: number): void {
+    this.advance(nowMs);
+    this.counts[this.newest % BUCKETS]! += 1;
   }
 
   perSecond(nowMs: number): number {
-    this.prune(nowMs);
-    return (this.times.length * 1000) / this.windowMs;
+    this.advance(nowMs);
+    const count = this.counts.reduce((sum, bucket) => sum + bucket, 0);
+    return (count * MS_PER_SECOND) / this.windowMs;
   }
 
-  private prune(nowMs: number): void {
-    const fromMs = nowMs - this.windowMs;
-    this.times = this.times.filter(timeMs => timeMs > fromMs).slice(-MAX_TIMES);
+  private advance(nowMs: number): void {
+    const newest = Math.floor((nowMs * BUCKETS) / this.windowMs);
+    const first = Math.max(this.newest + 1, newest - BUCKETS + 1);
+    for (let bucket = first; bucket <= newest; bucket += 1) {
+      this.counts[bucket % BUCKETS] = 0;
+    }
+    this.newest = newest;
   }
 }
