Refuse requests whose body ends too late in a planned stop

Cause: whether a request that may not be repeated fits before the end of a stop was decided before its body was read. A body may take until the deadline, so that the request was passed on near the end of the stop and cut there (the report of requests taken late in the grace).

Change: the same decision is made again after the body.

Conclusion: the report could happen here, for slow bodies.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -173,31 +173,33 @@
     if (this.refusing) return createStopRejection();
     const admission = await this.admission.admit(request, trace.startedAtMs);
     if (!admission.ok) return admission.value;
-    const {route} = admission.value;
-    trace.route = route;
-    trace.team = admission.value.team;
-    if (!this.fitsBeforeStop(route, admission.value.deadlineAtMs)) {
-      return createStopRejection();
-    }
+    const admitted = admission.value;
+    trace.route = admitted.route;
+    trace.team = admitted.team;
+    if (!this.fitsBeforeStop(admitted)) return createStopRejection();
     const reservation = this.options.bodyMemory.open();
     try {
       openRequest.phase = 'body';
       const read = await readRequestBody(request, {
-        maxBytes: admission.value.table.policy.callerLimits.maxBodyBytes,
-        deadlineAtMs: admission.value.deadlineAtMs,
+        maxBytes: admitted.table.policy.callerLimits.maxBodyBytes,
+        deadlineAtMs: admitted.deadlineAtMs,
         reservation,
       });
       if (read.kind !== 'read') return this.rejectUnread(read, openRequest);
-      // The key may have been withdrawn while the body came.
+      // While the body came, the key may have been withdrawn, or a stop begun.
       const confirmed = await this.admission.confirm(
         request,
         trace.startedAtMs,
-        admission.value,
+        admitted,
       );
       if (!confirmed.ok) {
         discardBody(read.body);
         return confirmed.value;
       }
+      if (!this.fitsBeforeStop(confirmed.value)) {
+        discardBody(read.body);
+        return createStopRejection();
+      }
       const {body} = read;
       return await this.forward(request, body, openRequest, confirmed.value);
     } finally {
@@ -271,7 +273,7 @@
    * Whether a request can be expected to finish before a stop gives it up. Only
    * for requests that cannot be repeated, whose outcome would stay unknown.
    */
-  private fitsBeforeStop(route: TrafficRoute, deadlineAtMs: number): boolean {
+  private fitsBeforeStop({route, deadlineAtMs}: AdmittedRequest): boolean {
     if (this.givesUpAtMs === undefined) return true;
     if (route.execution === 'idempotent') return true;
     const expectedAtMs = performance.now() + route.targetLatencyMs;
