Accept late requests in a stop only if their deadline fits

Cause: requests were accepted until the middle of the stop (one-time requests by their latency objective), which says nothing about whether the time that a request may take fits into the rest. The request that came early enough was answered; each that was cut had its deadline after 9.3 s.

Change: after 2.5 s, or the middle of a shorter stop, a request is accepted only if its deadline comes before open requests are given up. The same check applies after a body was read. The reserves at the end are at most a twelfth of the limit each, so that a stop of 2 s gives requests up in its last sixth. Requests that fit are no longer refused in the second half.

Conclusion: the deadline is the only certain bound of a request's duration.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -60,9 +60,6 @@
 // Share of `policy_apply_ms` after which an unknown route or key needs a new
 // confirmation of the policy before the request is denied.
 const DENIAL_FRESHNESS_SHARE = 0.9;
-// Part of the stop's time limit that is reserved for closing down after the last
-// request.
-const STOP_MARGIN_MS = 400;
 const MS_PER_SECOND = 1000;
 
 export class GatewayProcess {
@@ -335,10 +332,10 @@
 
   private async runStop(): Promise<void> {
     const {connections, requestHandler, callerServer, logger} = this;
-    const limitMs = this.settings.promises.stop_within_ms - STOP_MARGIN_MS;
+    const stopWithinMs = this.settings.promises.stop_within_ms;
     this.zone.withdrawCandidacy();
     await GracefulStop.create({
-      limitMs,
+      stopWithinMs,
       connections,
       requestHandler,
       callerServer,
--- a/packages/gateway/src/lib/graceful-stop.ts
+++ b/packages/gateway/src/lib/graceful-stop.ts
@@ -3,8 +3,8 @@
  * read completely gets an answer.
  *
  * Requests are accepted while the load balancer still sends new connections.
- * Then idle connections are closed, and from the middle of the stop on new
- * requests are refused. Shortly before the time limit, the requests that are
+ * Then idle connections are closed, and only requests are accepted whose deadline
+ * comes before the end. Shortly before the time limit, the requests that are
  * still open are given up and answered.
  */
 import type {CallerConnections} from '@fireflytrack/callers';
@@ -12,29 +12,22 @@
 import type {Logger} from '@fireflytrack/telemetry';
 import type {CallerServer} from './caller-server.js';
 import type {RequestHandler} from './request-handler.js';
+import {BALANCER_DETECTION_MS, planStop} from './stop-schedule.js';
 
 export interface GracefulStopOptions {
-  /** Time limit of the stop, without what closing down takes. */
-  limitMs: number;
+  /** Time limit of the stop, at which the platform ends the process. */
+  stopWithinMs: number;
   connections: CallerConnections;
   requestHandler: RequestHandler;
   callerServer: CallerServer;
   logger: Logger;
 }
 
-// The load balancer probes readiness once a second and stops sending new
-// connections after two failed probes. From then on idle connections are closed,
-// so that callers reconnect to other instances.
-const BALANCER_DETECTION_MS = 2500;
 // A connection counts as idle this long after it was opened or finished its
 // last request.
 const IDLE_CONNECTION_MS = 300;
-// Share of the time limit after which new requests are refused. The slowest take
-// seconds, and the rest of the time is for them.
-const REFUSE_NEW_AFTER_SHARE = 0.5;
-// Part of the time limit in which the answers to requests that were given up
-// reach their callers, and those that waited behind them on a connection.
-const DELIVERY_MS = 300;
+// Share of the stop after which no new connections are accepted.
+const STOP_ACCEPTING_SHARE = 0.5;
 const CHECK_INTERVAL_MS = 50;
 // Bounds the log lines about requests that the time limit cuts.
 const MAX_CUT_LINES = 100;
@@ -46,23 +39,25 @@
     return new GracefulStop(options);
   }
 
-  /** Resolves when no connection is open, or at the time limit. */
+  /** Resolves when no connection is open, or when it is time to close down. */
   async run(): Promise<void> {
-    const {limitMs, connections, requestHandler, callerServer, logger} =
+    const {stopWithinMs, connections, requestHandler, callerServer, logger} =
       this.options;
+    const schedule = planStop(stopWithinMs);
+    const {givesUpAfterMs, endsAfterMs} = schedule;
     const startedAtMs = performance.now();
-    const giveUpAfterMs = limitMs - DELIVERY_MS;
     logger.info('stopping', {inFlight: requestHandler.requestsInFlight});
-    requestHandler.beginStop(startedAtMs + giveUpAfterMs);
+    requestHandler.beginStop(startedAtMs, schedule);
     for (;;) {
       await sleep(CHECK_INTERVAL_MS);
       const elapsedMs = performance.now() - startedAtMs;
-      if (elapsedMs >= limitMs) break;
-      const refuses = elapsedMs >= limitMs * REFUSE_NEW_AFTER_SHARE;
-      if (refuses) requestHandler.refuseNew();
-      if (elapsedMs >= giveUpAfterMs) requestHandler.giveUpOpenRequests();
+      if (elapsedMs >= endsAfterMs) break;
+      if (elapsedMs >= givesUpAfterMs) requestHandler.giveUpOpenRequests();
       if (elapsedMs < BALANCER_DETECTION_MS) continue;
-      if (refuses) callerServer.stopAccepting();
+      if (elapsedMs >= endsAfterMs * STOP_ACCEPTING_SHARE) {
+        callerServer.stopAccepting();
+      }
+      // Their callers reconnect to other instances.
       connections.closeIdle(IDLE_CONNECTION_MS);
       if (connections.size === 0) break;
     }
--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -32,6 +32,7 @@
   RequestAdmissionOptions,
 } from './request-admission.js';
 import {sendUpstreamResponse, sendRejection} from './send-response.js';
+import type {StopSchedule} from './stop-schedule.js';
 
 export interface RequestHandlerOptions extends RequestAdmissionOptions {
   connections: CallerConnections;
@@ -63,6 +64,8 @@
 
 export class RequestHandler {
   private readonly openRequests = new Map<OpenRequest, RequestTrace>();
+  /** Monotonic time until which a stop accepts requests of any deadline. */
+  private acceptsAllUntilMs = Infinity;
   /** Monotonic time at which a stop gives up open requests. */
   private givesUpAtMs: number | undefined;
   private refusing = false;
@@ -80,12 +83,13 @@
     return this.openRequests.size;
   }
 
-  /**
-   * From now on, closes each connection after its last response. Requests that
-   * are open at `givesUpAtMs` are given up.
-   */
-  beginStop(givesUpAtMs: number): void {
-    this.givesUpAtMs = givesUpAtMs;
+  /** From now on, closes each connection after its last response. */
+  beginStop(
+    startedAtMs: number,
+    {acceptsAllForMs, givesUpAfterMs}: StopSchedule,
+  ): void {
+    this.acceptsAllUntilMs = startedAtMs + acceptsAllForMs;
+    this.givesUpAtMs = startedAtMs + givesUpAfterMs;
   }
 
   /** Rejects new requests, which could no longer be completed before the stop. */
@@ -270,14 +274,17 @@
   }
 
   /**
-   * Whether a request can be expected to finish before a stop gives it up. Only
-   * for requests that cannot be repeated, whose outcome would stay unknown.
+   * Whether a request finishes before a stop gives it up: for certain if it
+   * comes late in the stop, else as far as can be expected. Idempotent requests
+   * may be given up, since their callers can repeat them.
    */
   private fitsBeforeStop({route, deadlineAtMs}: AdmittedRequest): boolean {
     if (this.givesUpAtMs === undefined) return true;
+    const nowMs = performance.now();
+    if (deadlineAtMs <= this.givesUpAtMs) return true;
+    if (nowMs >= this.acceptsAllUntilMs) return false;
     if (route.execution === 'idempotent') return true;
-    const expectedAtMs = performance.now() + route.targetLatencyMs;
-    return Math.min(expectedAtMs, deadlineAtMs) <= this.givesUpAtMs;
+    return nowMs + route.targetLatencyMs <= this.givesUpAtMs;
   }
 
   private hasGivenUp(): boolean {
