Divide a zone's rates among the instances that follow its leaders

Cause: a leader that is cut off grants the zone's whole share to its own callers until it reads the table, and its successor grants the same share 0.7 s after the cut. A second cause: instances that reach the table but nobody else took the lead from leaders that others followed, each few seconds.

Change: each instance carries an equal part of the rates of its zone. A leader grants the parts of those that responded to its pings within 1.2 s, counted from the sending; a responding instance promises not to follow another for 1.2 s. The promise ends early if the former leader resigned or has ended, which a refused connection shows. An instance that reaches no leader at all replaces its own only after 10 s. Rates are divided by all zones that ever had a row.

Tried: dividing by the zones of the settings; a zone without instances then withholds its share for ever.

--- a/packages/wire/src/lib/peer-dialer.ts
+++ b/packages/wire/src/lib/peer-dialer.ts
@@ -14,6 +14,11 @@
   /** Connects to the peer and reconnects until `disconnect`. */
   connectTo(address: PeerAddress): void;
   disconnect(instanceId: string): void;
+  /**
+   * Whether nothing listened at the address when the peer was last dialed: its
+   * process has ended.
+   */
+  wasRefused(instanceId: string): boolean;
 }
 
 export interface DialTaskOptions {
@@ -31,6 +36,8 @@
 const STABLE_CONNECTION_MS = 2000;
 
 export class DialTask {
+  /** Whether nothing listened at the address at the last attempt. */
+  wasRefused = false;
   private stopped = false;
   private endPause: (() => void) | undefined;
 
@@ -76,13 +83,16 @@
     return new Promise(resolve => {
       const socket = connect({host, port});
       const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-      socket.once('error', () => {});
+      socket.once('error', (error: NodeJS.ErrnoException) => {
+        this.wasRefused = error.code === 'ECONNREFUSED';
+      });
       socket.once('close', () => {
         clearTimeout(timer);
         resolve(undefined);
       });
       socket.once('connect', () => {
         clearTimeout(timer);
+        this.wasRefused = false;
         resolve(socket);
       });
     });
--- a/packages/wire/src/lib/tcp-peer-network.ts
+++ b/packages/wire/src/lib/tcp-peer-network.ts
@@ -119,6 +119,10 @@
     this.openPeers.get(instanceId)?.connection.flushAndClose();
   }
 
+  wasRefused(instanceId: string): boolean {
+    return this.dialTasks.get(instanceId)?.wasRefused ?? false;
+  }
+
   peers(): readonly PeerIdentity[] {
     return [...this.openPeers.values()].map(peer => peer.identity);
   }
--- a/packages/zone/src/lib/leader-view.ts
+++ b/packages/zone/src/lib/leader-view.ts
@@ -6,7 +6,7 @@
  * be written again, or another instance has written the row since.
  */
 import type {TableRow} from '@fireflytrack/platform';
-import {parseLeaders} from './leader-row.js';
+import {isLeaderKey, parseLeaders} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 
 // Leaders read their rows every 2 s and write them again.
@@ -14,6 +14,8 @@
 
 export class LeaderView {
   private leaders = new Map<string, Leader>();
+  /** Keys of all leader rows that were ever read, also of those not valid. */
+  private readonly keysSeen = new Set<string>();
   private era: number | undefined;
   /** Leaders of the previous era. */
   private kept = new Map<string, Leader>();
@@ -28,6 +30,7 @@
   /** Applies the rows of a table in its era `era`. */
   apply(rows: readonly TableRow[], era: number): void {
     const read = parseLeaders(rows);
+    for (const {key} of rows) if (isLeaderKey(key)) this.keysSeen.add(key);
     if (this.era !== undefined && era > this.era) {
       this.kept = new Map(this.leaders);
       this.keptUntilMs = performance.now() + KEPT_MS;
@@ -54,7 +57,11 @@
     return [...this.leaders.values()];
   }
 
-  get size(): number {
-    return this.leaders.size;
+  /**
+   * Zones that ever had a leader. A zone whose row is damaged or lost still acts,
+   * so rates are divided by this number.
+   */
+  get zonesSeen(): number {
+    return this.keysSeen.size;
   }
 }
--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -4,7 +4,8 @@
  *
  * An instance becomes leader when it cannot reach the leader named in the row.
  * The former leader keeps acting until it reads the row again, so the actions
- * of a leader must be safe while two instances act as leader.
+ * of a leader must be safe while two instances act as leader. What must not be
+ * granted twice is divided by `ZoneShare`.
  */
 import type {TableRow, TableService} from '@fireflytrack/platform';
 import {toLogText} from '@fireflytrack/telemetry';
@@ -23,6 +24,8 @@
 import {LeaderConnections} from './leader-connections.js';
 import {LeaderRowRelay} from './leader-row-relay.js';
 import {LeaderView} from './leader-view.js';
+import {ZoneShare} from './zone-share.js';
+import type {Succession} from './zone-share.js';
 
 export interface ZoneElectionOptions {
   self: Leader;
@@ -30,10 +33,11 @@
   network: PeerNetwork & PeerDialer;
   logger: Logger;
   /**
-   * Called when this instance becomes leader; the zone has had no leader since
-   * `vacantSinceMs` of the monotonic clock.
+   * Called when this instance becomes leader. The zone has had no leader since
+   * `vacantSinceMs` of the monotonic clock, or the former leader may still act if
+   * that is undefined.
    */
-  onBecomeLeader(vacantSinceMs: number): void;
+  onBecomeLeader(vacantSinceMs: number | undefined): void;
   /** Called with the rows of each read of the table. */
   onRowsRead?(rows: readonly TableRow[]): Promise<void>;
   /** Called when this instance starts to follow a leader. */
@@ -83,6 +87,9 @@
 // Time that instances which are as large as the last leader have to replace it
 // before a smaller one does.
 const SMALLER_INSTANCE_DELAY_MS = 300;
+// An instance that reaches nobody cannot tell that the leader is lost. Only after
+// this time does it replace a leader that others may follow.
+const ISOLATED_DELAY_MS = 10_000;
 // Enough for the rows of all zones and the secret.
 const MAX_SCAN_ROWS = 200;
 
@@ -103,12 +110,25 @@
   private resignedId: string | undefined;
   /** When the leader named in the row ended, if that is known. */
   private vacantSinceMs: number | undefined;
+  /** When the connection to the leader that this instance followed ended. */
+  private lostLeader: {lifeId: string; atMs: number} | undefined;
+  /** Since when this instance has reached neither its leader nor another. */
+  private isolatedSinceMs: number | undefined;
+  /** Describes the leadership that this instance applied for. */
+  private succession: Succession = {instances: 1};
+  /** The part of the zone's rates that this instance may grant as leader. */
+  readonly share: ZoneShare;
 
   private constructor(private readonly options: ZoneElectionOptions) {
     const {network, self} = options;
     this.connections = LeaderConnections.create(network, self.availabilityZone);
     const maxAgeMs = MAX_RELAYED_ROW_AGE_MS;
     this.rowRelay = LeaderRowRelay.create({network, maxAgeMs});
+    this.share = ZoneShare.create({
+      network,
+      lifeId: self.lifeId,
+      followedLifeId: () => this.reachableLeader?.lifeId,
+    });
     network.onRequest(CONFIRM_LEADER_KIND, () => {
       const confirmation: Confirmation = {
         leads: this.isLeader,
@@ -188,9 +208,9 @@
     return first;
   }
 
-  /** Number of zones that have a leader, at least 1. */
+  /** Number of zones that rates are divided by, at least 1. */
   get zoneCount(): number {
-    return Math.max(1, this.leaders.size);
+    return Math.max(1, this.leaders.zonesSeen);
   }
 
   /** Begins with rows that were just read. */
@@ -200,6 +220,9 @@
 
   stop(): void {
     this.stopped = true;
+    this.share.end();
+    const leader = this.reachableLeader;
+    if (leader) this.share.announceLeaving(leader.instanceId);
   }
 
   /** From now on, does not become leader; a leader goes on until it stops. */
@@ -280,6 +303,8 @@
     if (leads === this.holdsLeadership) return;
     this.holdsLeadership = leads;
     this.hasDeferred = false;
+    if (leads) this.share.begin(this.succession);
+    else this.share.end();
     const {availabilityZone} = self;
     if (!leads) {
       const leader = own?.instanceId;
@@ -290,11 +315,14 @@
       }
       return;
     }
-    const nowMs = performance.now();
-    const vacantSinceMs = this.vacantSinceMs ?? nowMs;
+    const {vacantSinceMs, succession} = this;
     this.options.onBecomeLeader(vacantSinceMs);
-    const vacantForMs = Math.round(nowMs - vacantSinceMs);
-    logger.info('leads the zone', {availabilityZone, vacantForMs});
+    const vacantForMs =
+      vacantSinceMs === undefined
+        ? undefined
+        : Math.round(performance.now() - vacantSinceMs);
+    const {instances} = succession;
+    logger.info('leads the zone', {availabilityZone, vacantForMs, instances});
   }
 
   /**
@@ -307,7 +335,8 @@
   ): Promise<void> {
     const {network, self, table} = this.options;
     const zonePeers = this.zonePeers();
-    const instances = zonePeers.length + 1;
+    this.share.confirm(areRelayed ? MAX_RELAYED_ROW_AGE_MS : 0);
+    const {instances} = this.share;
     const key = leaderKey(self.availabilityZone);
     const stored = parseLeaders(rows).get(self.availabilityZone)?.leader;
     const isStored = stored?.lifeId === self.lifeId;
@@ -340,15 +369,18 @@
     const {network, self, logger} = this.options;
     const leader = this.leaders.get(self.availabilityZone);
     this.vacantSinceMs = undefined;
+    this.succession = {instances: leader?.instances ?? 1};
     if (!leader) return false;
     if (leader.instanceId === self.instanceId) {
-      if (this.isEarlierRun(leader)) this.vacantSinceMs = 0;
+      if (this.isEarlierRun(leader)) this.recordEnd(leader, 0);
       return false;
     }
     network.connectTo(leader);
     const deadlineAtMs = performance.now() + LEADER_CONNECT_TIMEOUT_MS;
     while (!this.isConnected(leader)) {
-      if (performance.now() >= deadlineAtMs || this.stopped) {
+      const isRefused = network.wasRefused(leader.instanceId);
+      if (isRefused) this.recordEnd(leader, this.lossTimeOf(leader));
+      if (isRefused || performance.now() >= deadlineAtMs || this.stopped) {
         network.disconnect(leader.instanceId);
         return false;
       }
@@ -369,7 +401,7 @@
       this.fleetSize = instances;
       // The instance has restarted, so the run that was leader has ended.
       if (lifeId !== leader.lifeId && uptimeMs !== undefined) {
-        this.vacantSinceMs = performance.now() - uptimeMs;
+        this.recordEnd(leader, performance.now() - uptimeMs);
       }
     }
     if (confirmed) logger.info('follows leader', {leader: leader.instanceId});
@@ -377,6 +409,19 @@
     return confirmed;
   }
 
+  /** Records that a leader has ended, at `atMs` at the latest. */
+  private recordEnd({lifeId, instances}: Leader, atMs: number): void {
+    this.vacantSinceMs = atMs;
+    const remaining = Math.max(1, instances - 1);
+    this.succession = {instances: remaining, endedLifeId: lifeId};
+  }
+
+  /** When the connection to a leader was lost; now, if it is not known. */
+  private lossTimeOf({lifeId}: Leader): number {
+    const {lostLeader} = this;
+    return lostLeader?.lifeId === lifeId ? lostLeader.atMs : performance.now();
+  }
+
   private zonePeers(): PeerIdentity[] {
     const {network, self} = this.options;
     return network
@@ -402,6 +447,8 @@
       this.connections.closeIdle();
     }
     if (this.stopped) return;
+    this.lostLeader = {lifeId: leader.lifeId, atMs: performance.now()};
+    if (hasResigned()) this.share.releasePromise(leader.lifeId);
     network.disconnect(leader.instanceId);
     logger.warn('dependency lost', {dependency: 'zone leader'});
   }
@@ -419,13 +466,48 @@
       await sleep(TABLE_RETRY_MS);
       return;
     }
+    if (await this.isIsolated()) {
+      this.isolatedSinceMs ??= performance.now();
+      const isolatedForMs = performance.now() - this.isolatedSinceMs;
+      if (isolatedForMs < ISOLATED_DELAY_MS) {
+        await sleep(TABLE_RETRY_MS);
+        return;
+      }
+    } else {
+      this.isolatedSinceMs = undefined;
+    }
     const key = leaderKey(self.availabilityZone);
     const ifVersion = findRowVersion(rows, key);
-    const write = {kind: 'put' as const, key, ifVersion, value: self};
+    const {instances} = this.succession;
+    const value = {...self, instances};
+    const write = {kind: 'put' as const, key, ifVersion, value};
     const result = await table.batch([write], {atomic: true});
     if (result.err) await sleep(TABLE_RETRY_MS);
   }
 
+  /**
+   * Whether the leaders of all zones could not be reached, and none of them is
+   * known to have ended.
+   */
+  private async isIsolated(): Promise<boolean> {
+    const {self, network} = this.options;
+    const own = this.leaders.get(self.availabilityZone);
+    const others = this.otherLeaders;
+    const hasOwn = own !== undefined && own.instanceId !== self.instanceId;
+    if (!hasOwn || this.succession.endedLifeId || others.length === 0) {
+      return false;
+    }
+    const attempts = others.map(async leader => {
+      const isReached = await this.connect(leader, SOURCE_CONNECT_TIMEOUT_MS);
+      if (isReached || network.wasRefused(leader.instanceId)) return;
+      throw new Error(`leader ${leader.instanceId} is not reached`);
+    });
+    return Promise.any(attempts).then(
+      () => false,
+      () => true,
+    );
+  }
+
   /** Whether the last leader of the zone had more processor time. */
   private isSmallerThanLeader(): boolean {
     const {self} = this.options;
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -209,7 +209,7 @@
       logger,
     });
     await network.start();
-    const onBecomeLeader = (vacantSinceMs: number) => {
+    const onBecomeLeader = (vacantSinceMs: number | undefined) => {
       this.limiter?.becomeLeader(vacantSinceMs);
       this.retries.becomeLeader();
       for (const follower of this.followers) follower.becomeLeader();
--- a/packages/zone/src/lib/zone-rate-limiter.ts
+++ b/packages/zone/src/lib/zone-rate-limiter.ts
@@ -1,8 +1,8 @@
 /**
  * Rate limiting per team, pooled per availability zone.
  *
- * The zone leader holds the zone's share of each rate and admits requests for
- * the other instances; a leader that runs out of tokens borrows from the
+ * The zone leader holds the zone's share of each rate, as far as the instances of
+ * the zone follow it, and admits requests for the other instances; a leader that runs out of tokens borrows from the
  * leaders of other zones. An instance that cannot reach its leader sends its
  * requests to the leaders of other zones. If none is reachable it refuses,
  * because it does not know what other instances admit.
@@ -70,7 +70,13 @@
 
   private constructor(private readonly options: ZoneRateLimiterOptions) {
     const {bounds, election, network} = options;
-    this.buckets = ZoneBuckets.create(bounds, () => election.zoneCount);
+    this.buckets = ZoneBuckets.create(
+      bounds,
+      () => election.zoneCount,
+      () => election.share.fraction,
+    );
+    // Also without requests, so that the buckets fill with the new fraction.
+    election.share.onFollowerCounted = () => this.buckets.update();
     network.onRequest(TAKE_KIND, (_from, payload) => this.handleTake(payload));
     network.onRequest(LEND_KIND, (_from, payload) => this.handleLend(payload));
     network.onMessage(REFUND_KIND, (_from, payload) =>
@@ -82,9 +88,13 @@
     return new ZoneRateLimiter(options);
   }
 
-  /** Resets the buckets; the zone has had no leader since `vacantSinceMs`. */
-  becomeLeader(vacantSinceMs: number): void {
+  /**
+   * Resets the buckets. The zone has had no leader since `vacantSinceMs`, or the
+   * former one may still act if that is undefined.
+   */
+  becomeLeader(vacantSinceMs: number | undefined): void {
     this.buckets.reset(vacantSinceMs);
+    this.buckets.update();
   }
 
   async admit(team: TeamPolicy): Promise<RateDecision> {
@@ -107,7 +117,7 @@
     if (team.ratePerSecond === 0) return;
     const {election, network} = this.options;
     if (election.isLeader) {
-      this.buckets.addTokens(team, 1);
+      this.buckets.refund(team);
       return;
     }
     const leader = election.reachableLeader;
@@ -133,6 +143,9 @@
   }
 
   private async takeLocally(team: TeamPolicy): Promise<RateDecision> {
+    const {election} = this.options;
+    await election.share.renew();
+    if (!election.isLeader) return createNoLeaderRefusal();
     if (this.buckets.tryTake(team)) return {admitted: true};
     await this.borrow(team);
     if (this.buckets.tryTake(team)) return {admitted: true};
@@ -170,7 +183,7 @@
         ? lendResponseSchema.safeParse(response.val)
         : undefined;
       if (!loan?.success || loan.data.tokens === 0) continue;
-      this.buckets.addTokens(team, loan.data.tokens);
+      this.buckets.addBorrowed(team, loan.data.tokens);
       return;
     }
     const untilMs = performance.now() + BORROW_PAUSE_MS;
@@ -193,7 +206,7 @@
   private handleRefund(payload: unknown): void {
     const {team} = takeRequestSchema.parse(payload);
     if (!this.options.election.isLeader) return;
-    this.buckets.addTokens(this.requireTeam(team), 1);
+    this.buckets.refund(this.requireTeam(team));
   }
 
   private assertLeader(): void {
--- a/packages/zone/src/test/odd-message_test.ts
+++ b/packages/zone/src/test/odd-message_test.ts
@@ -65,6 +65,7 @@
     zoneCount: 1,
     otherLeaders: [],
     waitForLeader: async () => {},
+    share: {fraction: 1, renew: async () => {}},
   } as unknown as ZoneElection;
 
   beforeEach(() => {
@@ -108,6 +109,7 @@
       network: Object.assign(leader, {
         connectTo: () => {},
         disconnect: () => {},
+        wasRefused: () => false,
       }),
       findTeam: () => team,
     });
--- a/packages/zone/src/test/zone-buckets_test.ts
+++ b/packages/zone/src/test/zone-buckets_test.ts
@@ -20,10 +20,18 @@
   });
   afterEach(() => clock.uninstall());
 
-  function createBuckets(): ZoneBuckets[] {
-    return Array.from({length: ZONES}, () =>
-      ZoneBuckets.create(RATE_BOUNDS, () => ZONES),
+  function createBucket(): ZoneBuckets {
+    const buckets = ZoneBuckets.create(
+      RATE_BOUNDS,
+      () => ZONES,
+      () => 1,
     );
+    buckets.reset(performance.now());
+    return buckets;
+  }
+
+  function createBuckets(): ZoneBuckets[] {
+    return Array.from({length: ZONES}, createBucket);
   }
 
   /**
@@ -125,7 +133,7 @@
         let admitted = nearest.tryTake(team);
         for (const lender of lenders) {
           if (admitted) break;
-          nearest.addTokens(team, lender.lend(team, 4));
+          nearest.addBorrowed(team, lender.lend(team, 4));
           admitted = nearest.tryTake(team);
         }
         if (!admitted) refused += 1;
@@ -164,13 +172,13 @@
       ratePerSecond: 60,
       burstTokens: 60,
     };
-    const bucket = ZoneBuckets.create(RATE_BOUNDS, () => ZONES);
+    const bucket = createBucket();
     clock.tick(60_000);
     let lent = 0;
     for (let round = 0; round < 50; round += 1) lent += bucket.lend(team, 4);
     let taken = 0;
     while (bucket.tryTake(team)) taken += 1;
-    const other = ZoneBuckets.create(RATE_BOUNDS, () => ZONES);
+    const other = createBucket();
     clock.tick(60_000);
     let fullBucketTokens = 0;
     while (other.tryTake(team)) fullBucketTokens += 1;
--- a/packages/zone/src/test/zone-election_test.ts
+++ b/packages/zone/src/test/zone-election_test.ts
@@ -73,6 +73,7 @@
       onRequest: (kind, handler) => peers.onRequest(kind, handler),
       connectTo: () => {},
       disconnect: id => disconnected.push(id),
+      wasRefused: () => false,
     };
     const logger = createLogger({level: 'error', silent: true});
     const election = ZoneElection.create({
@@ -80,7 +81,7 @@
       table,
       network: dialing,
       logger,
-      onBecomeLeader: vacantSinceMs =>
+      onBecomeLeader: (vacantSinceMs = performance.now()) =>
         vacantForMs.push(performance.now() - vacantSinceMs),
     });
     election.start([]);
