Bound the time that floods of backend servers hold the event loop

What callers saw: while servers answered with an endless series of header lines or trailers, callers of other servers got no answer: with 40 callers of 4 such servers for 2 s, 0 to 3 of the other callers' requests were served, 7 to 10 failed. With the shortest header lines the event loop was held for 20.6 s.

Cause: undici parses all bytes that have arrived in one go, up to 64 KB of each connection. Beyond its limit of a head it destroys the socket with a new error for each further header line that is already there; a flood of one-byte chunks makes a call for each (0.42 s, 16 served, 2 failed). That the size of the head is bounded does not bound this.

Change: undici gets bytes outside of bodies in slices of 1 KB, none after an error, and at most 8 KB of them in a turn of the event loop for all connections together. The first 2 KB of a response are not deferred: with a plain budget the other callers waited behind the floods (worst 1,037 ms, 20 served).

Before: flooding-servers_test fails 5 of 14 forms. All tests of upstream pass (526).

--- a/packages/upstream/src/lib/framing-meter.ts
+++ b/packages/upstream/src/lib/framing-meter.ts
@@ -10,6 +10,8 @@
 const MAX_FRAMING_PER_BODY_BYTE = 7;
 
 export class FramingMeter {
+  /** Of all responses of the connection. */
+  totalBodyBytes = 0;
   private startBytes = 0;
   private bodyBytes = 0;
 
@@ -25,13 +27,18 @@
 
   addBody(bytes: number): void {
     this.bodyBytes += bytes;
+    this.totalBodyBytes += bytes;
+  }
+
+  /** Framing of a response that reaches up to `readBytes`. */
+  framingAt(readBytes: number): number {
+    return readBytes - this.startBytes - this.bodyBytes;
   }
 
   /** Whether a response that reaches up to `readBytes` has too much framing. */
   isExceededAt(readBytes: number): boolean {
-    const framingBytes = readBytes - this.startBytes - this.bodyBytes;
     const maxBytes =
       MAX_FRAMING_BYTES + this.bodyBytes * MAX_FRAMING_PER_BODY_BYTE;
-    return framingBytes > maxBytes;
+    return this.framingAt(readBytes) > maxBytes;
   }
 }
--- a/packages/upstream/src/lib/server-connection.ts
+++ b/packages/upstream/src/lib/server-connection.ts
@@ -11,6 +11,7 @@
 import type {Dispatcher, buildConnector} from 'undici';
 import {CarriedRequests} from './carried-requests.js';
 import {FramingMeter} from './framing-meter.js';
+import {PacedReading} from './paced-reading.js';
 
 // Connecting to a healthy server in the farthest region takes about 20 ms. A
 // request may try several unresponsive servers in a row, so the timeout is a
@@ -129,9 +130,7 @@
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       this.useSocket(socket);
-      // Registered before undici's listener, so that what is not read yet has not
-      // been parsed either.
-      socket.on('readable', () => this.checkFraming(socket));
+      PacedReading.apply(socket, this.framing);
       settle(null);
     });
     socket.on('error', (error: NodeJS.ErrnoException) => {
@@ -162,10 +161,4 @@
     this.hasEnded = false;
     this.framing.start(0);
   }
-
-  private checkFraming(socket: Socket): void {
-    const parsedBytes = socket.bytesRead - socket.readableLength;
-    if (!this.framing.isExceededAt(parsedBytes)) return;
-    socket.destroy(new Error('answer with too many bytes outside its body'));
-  }
 }
