Listen for errors of each accepted connection

Cause: Node.js removes its own listeners, that for errors too, from the socket of a CONNECT request; the connection had no other. Change: the server adds one of its own to each connection.

--- a/packages/callers/src/lib/create-caller-server.ts
+++ b/packages/callers/src/lib/create-caller-server.ts
@@ -44,6 +44,9 @@
   // although one-time requests are completed.
   Object.assign(server, {httpAllowHalfOpen: true});
   server.on('connection', socket => {
+    // Node.js removes its own listener from the socket of a CONNECT request; an
+    // error without one would end the process.
+    socket.on('error', () => {});
     connections.getOrCreate(socket);
   });
   server.on('clientError', (error, socket) => {
