Discard the bodies of refused requests in one place

Cause: a body over 1 MiB is a stream that gives back its memory when it closes; three returns of forward() and exceptions did not discard it. Change: serveRead owns the body and discards it unless a server has answered.

--- a/packages/gateway/src/lib/request-handler.ts
+++ b/packages/gateway/src/lib/request-handler.ts
@@ -190,25 +190,51 @@
         reservation,
       });
       if (read.kind !== 'read') return this.rejectUnread(read, openRequest);
+      return await this.serveRead(
+        request,
+        read.body,
+        openRequest,
+        trace,
+        admitted,
+      );
+    } finally {
+      // A stream releases its memory when it closes.
+      if (!reservation.isStreamed) reservation.release();
+    }
+  }
+
+  /**
+   * Serves a request whose body was read or is a stream. The body is discarded
+   * unless a server has it.
+   */
+  private async serveRead(
+    request: IncomingMessage,
+    body: RequestBody,
+    openRequest: OpenRequest,
+    trace: RequestTrace,
+    admitted: AdmittedRequest,
+  ): Promise<UpstreamOutcome | Rejection> {
+    let isAnswered = false;
+    try {
       // While the body came, the key may have been withdrawn, or a stop begun.
       const confirmed = await this.admission.confirm(
         request,
         trace.startedAtMs,
         admitted,
       );
-      if (!confirmed.ok) {
-        discardBody(read.body);
-        return confirmed.value;
-      }
-      if (!this.fitsBeforeStop(confirmed.value)) {
-        discardBody(read.body);
-        return createStopRejection();
-      }
-      const {body} = read;
-      return await this.forward(request, body, openRequest, confirmed.value);
+      if (!confirmed.ok) return confirmed.value;
+      if (!this.fitsBeforeStop(confirmed.value)) return createStopRejection();
+      const outcome = await this.forward(
+        request,
+        body,
+        openRequest,
+        confirmed.value,
+      );
+      isAnswered = 'kind' in outcome && outcome.kind === 'answered';
+      return outcome;
     } finally {
-      // A stream releases its memory when it closes.
-      if (!reservation.isStreamed) reservation.release();
+      // After a response, a server may still be reading the body.
+      if (!isAnswered) discardBody(body);
     }
   }
 
@@ -268,8 +294,6 @@
       abandoned: openRequest.abandoned.signal,
     });
     if (team && outcome.kind === 'not-run') this.options.limiter.refund(team);
-    // After a response, a server may still be reading the body.
-    if (outcome.kind !== 'answered') discardBody(body);
     return outcome;
   }
 
