Free the part of an instance that leaves its zone by a planned stop

Cause: a new leader reckons for 12 s with the number of instances that its predecessor counted, so that each planned stop withheld a part of the rates. Change: an instance that leaves also lowers that number. The new case of zone-share_test covers it; it was written with the change.

--- a/packages/zone/src/lib/zone-share.ts
+++ b/packages/zone/src/lib/zone-share.ts
@@ -91,10 +91,7 @@
     network.onRequest(PING_KIND, (_from, payload) =>
       this.answerPing(pingSchema.parse(payload)),
     );
-    network.onMessage(LEFT_KIND, ({instanceId}) => {
-      this.followers.delete(instanceId);
-      this.computedAt = undefined;
-    });
+    network.onMessage(LEFT_KIND, ({instanceId}) => this.forget(instanceId));
   }
 
   static create(options: ZoneShareOptions): ZoneShare {
@@ -165,6 +162,14 @@
     this.options.network.send(leaderId, LEFT_KIND, {});
   }
 
+  /** Frees the part of an instance that has left the zone. */
+  private forget(instanceId: string): void {
+    if (!this.succession || !this.followers.delete(instanceId)) return;
+    const instances = Math.max(1, this.succession.instances - 1);
+    this.succession = {...this.succession, instances};
+    this.computedAt = undefined;
+  }
+
   private computeFraction(): number {
     if (!this.succession) return 0;
     const isOwnPartFree = this.promise === undefined || this.isPromiseOver();
--- a/packages/zone/src/test/zone-share_test.ts
+++ b/packages/zone/src/test/zone-share_test.ts
@@ -74,6 +74,16 @@
     expect(leader.fraction).toEqual(1);
   });
 
+  // Guards against refusals after each planned stop of an instance.
+  it('is whole again when an instance leaves', async () => {
+    const leader = await startZone();
+    leaders[1]!.announceLeaving('a');
+    network.leave('b');
+    await clock.tickAsync(10);
+    expect(leader.fraction).toEqual(1);
+    expect(leader.instances).toEqual(3);
+  });
+
   // Guards against a successor that grants a part which the former leader, cut
   // off from its followers only, still counts.
   it('of a successor grows only after the promises to the former leader', async () => {
