Credit the time without a leader only if it ended at once

Cause, found in the read-through: when a leader's connection was lost, it was not reached, and it ended later, its successor filled its buckets for the time since the loss, in which the leader may have granted. Change: the time of the loss is forgotten when the leader does not refuse the connection at the first attempt. No test of its own; the tests of the zone pass.

--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -381,6 +381,8 @@
       const isRefused = network.wasRefused(leader.instanceId);
       if (isRefused) this.recordEnd(leader, this.lossTimeOf(leader));
       if (isRefused || performance.now() >= deadlineAtMs || this.stopped) {
+        // Unless it was refused, the leader may still act and end later.
+        if (!isRefused) this.lostLeader = undefined;
         network.disconnect(leader.instanceId);
         return false;
       }
