--- a/packages/upstream/src/lib/paced-reading.ts
+++ b/packages/upstream/src/lib/paced-reading.ts
@@ -4,14 +4,14 @@
  * undici parses all bytes of a socket that have arrived at once. Bytes outside
  * of bodies are dear: each header line, chunk and informational response is
  * handled by itself, and each header line beyond undici's limit makes an error.
- * Therefore undici gets such bytes in small slices, and no more of them in one
- * turn of the event loop than a budget which all connections share.
+ * Therefore undici gets such bytes in small slices, and in one turn of the event
+ * loop no longer than for a time that all connections share.
  */
 import type {Socket} from 'node:net';
 import type {FramingMeter} from './framing-meter.js';
 
-// Bytes outside of bodies that are parsed in one turn of the event loop.
-const MAX_FRAMING_BYTES_PER_TURN = 8192;
+// Time for parsing in one turn of the event loop.
+const MAX_PARSING_MS_PER_TURN = 5;
 // While a connection delivers little else, it is read in slices of this size. The
 // heads of most responses fit into one.
 const SLICE_BYTES = 1024;
@@ -20,22 +20,22 @@
 // that it does not wait for those of faulty servers.
 const UNDEFERRED_BYTES = 2048;
 
-/** What the connections of a process may parse in the current turn. */
+/** How long the connections of a process may parse in the current turn. */
 class TurnBudget {
-  private usedBytes = 0;
+  private startedAtMs: number | undefined;
 
   static create(): TurnBudget {
     return new TurnBudget();
   }
 
+  /** Whether the time is over; the first call in a turn starts it. */
   get isSpent(): boolean {
-    return this.usedBytes >= MAX_FRAMING_BYTES_PER_TURN;
-  }
-
-  use(bytes: number): void {
-    if (bytes <= 0) return;
-    if (this.usedBytes === 0) setImmediate(() => (this.usedBytes = 0));
-    this.usedBytes += bytes;
+    const nowMs = performance.now();
+    if (this.startedAtMs === undefined) {
+      this.startedAtMs = nowMs;
+      setImmediate(() => (this.startedAtMs = undefined));
+    }
+    return nowMs - this.startedAtMs >= MAX_PARSING_MS_PER_TURN;
   }
 }
 
@@ -74,7 +74,7 @@
     const available = socket.readableLength;
     if (available === 0) return this.readSocket();
     const framingBytes = this.framing.framingAt(this.parsedBytes);
-    if (turnBudget.isSpent && framingBytes >= UNDEFERRED_BYTES) {
+    if (framingBytes >= UNDEFERRED_BYTES && turnBudget.isSpent) {
       this.defer();
       return null;
     }
@@ -92,7 +92,6 @@
     this.parsedBytes = parsedBytes;
     this.bodyBytes = framing.totalBodyBytes;
     this.mayReadAll = bodyBytes > sliceBytes / 2;
-    turnBudget.use(sliceBytes - bodyBytes);
   }
 
   /** Lets undici read on in another turn. */
