Put the parts of a feed that instances read for each other in one place

A feed of the table was wired twice, in the process for the list of servers and in the policy holder, from four parts: the reader, the follower, the relay and the lease. SharedFeed holds them once.

--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -1,24 +1,16 @@
 /** One gateway process: builds its components and runs them until stopped. */
 import {CallerConnections} from '@fireflytrack/callers';
-import {FeedFollower, ServerCatalog} from '@fireflytrack/discovery';
-import {discoveredServerSchema} from '@fireflytrack/discovery';
+import {ServerCatalog, discoveredServerSchema} from '@fireflytrack/discovery';
 import type {ChangeFeed, DiscoveredServer} from '@fireflytrack/discovery';
 import type {TableService} from '@fireflytrack/platform';
-import {trafficPolicySchema} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {RateLimitedLog, StateDump} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {CrashSuspects, KnownLimits, Upstream} from '@fireflytrack/upstream';
-import {
-  CrashExchange,
-  FeedRelay,
-  RelayedFeed,
-  ZoneMember,
-} from '@fireflytrack/zone';
+import {CrashExchange, SharedFeed, ZoneMember} from '@fireflytrack/zone';
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
-import {readClocks} from '@fireflytrack/time';
 import {CallerServer} from './caller-server.js';
 import {BodyMemory} from './body-memory.js';
 import {
@@ -27,12 +19,11 @@
   chooseStartDelayMs,
   toHeaderNames,
 } from './derived-settings.js';
-import {FreshnessLease} from './freshness-lease.js';
 import {GracefulStop} from './graceful-stop.js';
 import {RequestHandler} from './request-handler.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {InstanceEstimate} from './instance-estimate.js';
-import {PolicyHolder, RELAY_AGE_MARGIN_MS} from './policy-holder.js';
+import {PolicyHolder} from './policy-holder.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {StatusServer} from './status-server.js';
 
@@ -48,9 +39,6 @@
   storeCalls(): ReadonlyMap<string, number>;
 }
 
-// Longest wait of a relayed call. A leader responds earlier, when its own feed was
-// confirmed, which happens at the waits of [store].
-const RELAY_WAIT_MARGIN_MS = 100;
 // Longest wait of the first read of a feed for a leader, at the first start of the
 // fleet. Later starts read the store at once, since callers are waiting.
 const LEADER_WAIT_MS = 600;
@@ -67,10 +55,7 @@
   private readonly log: RateLimitedLog;
   private readonly policies: PolicyHolder;
   private readonly catalog: ServerCatalog;
-  private readonly serverFollower: FeedFollower<DiscoveredServer>;
-  /** Freshness of the server list. */
-  private readonly serverLease = FreshnessLease.create();
-  private serverCallSentAt = readClocks();
+  private readonly serverFeed: SharedFeed<DiscoveredServer>;
   private readonly upstream: Upstream;
   private readonly limits: KnownLimits;
   private readonly instances: InstanceEstimate;
@@ -98,32 +83,13 @@
     const waits = chooseFeedWaits(settings);
     const linesPerSecond = log.lines_per_second;
     this.log = RateLimitedLog.create({logger, linesPerSecond});
-    const policyFeed = RelayedFeed.create<TrafficPolicy>({
-      name: 'policy',
-      direct: sources.policyFeed,
-      itemSchema: trafficPolicySchema,
-      relayWaitMs: waits.policyMs + RELAY_WAIT_MARGIN_MS,
-      startWaitMs,
-      logger,
-    });
     this.policies = PolicyHolder.create({
-      feed: policyFeed,
+      feed: sources.policyFeed,
       reader: sources.policyReader,
       waitMs: waits.policyMs,
-      logger,
-    });
-    const serverFeed = RelayedFeed.create<DiscoveredServer>({
-      name: 'servers',
-      direct: sources.serverFeed,
-      itemSchema: discoveredServerSchema,
-      relayWaitMs: waits.serversMs + RELAY_WAIT_MARGIN_MS,
       startWaitMs,
       logger,
     });
-    const serverRelay = FeedRelay.create<DiscoveredServer>(
-      {name: 'servers', maxAgeMs: waits.serversMs + RELAY_AGE_MARGIN_MS},
-      () => this.serverLease.ageMs(),
-    );
     const headerNames = toHeaderNames(settings);
     this.limits = KnownLimits.create(logger);
     this.instances = InstanceEstimate.create(
@@ -165,20 +131,18 @@
         onLeft: server => this.upstream.removeServer(server),
       },
     );
-    this.serverFollower = FeedFollower.create({
-      name: 'server feed',
-      feed: serverFeed,
+    this.serverFeed = SharedFeed.create<DiscoveredServer>({
+      name: 'servers',
+      logName: 'server feed',
+      direct: sources.serverFeed,
+      itemSchema: discoveredServerSchema,
       waitMs: waits.serversMs,
       pauseMs: store.servers_pause_ms,
+      startWaitMs,
       listener: {
-        onCallStart: () => (this.serverCallSentAt = readClocks()),
-        onPage: (page, complete) => {
+        onPage: (page, complete, sentAt) => {
           this.catalog.apply(page, complete);
-          this.serverLease.confirm(
-            this.serverCallSentAt,
-            page.confirmedOffsetMs,
-          );
-          serverRelay.storePage(page, complete);
+          this.serverFeed.lease.confirm(sentAt, page.confirmedOffsetMs);
         },
         onUnavailable: () => this.catalog.onStoreUnavailable(),
         onRecovered: () => this.catalog.onStoreRecovered(),
@@ -214,10 +178,7 @@
       findTeam: name => this.policies.current()?.findTeam(name),
       limits: this.limits,
       estimateInstances: () => this.instances.read(),
-      relays: [
-        {feed: policyFeed, relay: this.policies.relay},
-        {feed: serverFeed, relay: serverRelay},
-      ],
+      feeds: [this.policies.feed, this.serverFeed],
       followers: [this.policies.exchange, crashExchange],
       onServerFailure: ({serverId, service}) =>
         this.upstream.recordReportedFailure(serverId, service),
@@ -293,7 +254,7 @@
   /** Rejects when one of its addresses is in use. */
   async start(): Promise<void> {
     this.policies.start();
-    this.serverFollower.start();
+    this.serverFeed.start();
     this.zone.start();
     await this.readyServer.start();
     await this.metricsServer?.start();
@@ -347,7 +308,7 @@
     this.catalog.stop();
     await Promise.all([
       this.policies.stop(),
-      this.serverFollower.stop(),
+      this.serverFeed.stop(),
       this.zone.stop(),
     ]);
     this.upstream.close();
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -4,18 +4,17 @@
  * Changes arrive through a feed. Before a request is denied, the policy is read
  * directly once, because the change that allows it may still be in transit.
  */
-import {FeedFollower} from '@fireflytrack/discovery';
 import type {ChangeFeed, FeedPage} from '@fireflytrack/discovery';
-import {PolicyTable} from '@fireflytrack/policy';
+import {PolicyTable, trafficPolicySchema} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
-import {FeedRelay} from '@fireflytrack/zone';
+import {SharedFeed} from '@fireflytrack/zone';
+import type {FreshnessLease} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
 import type {ClockReading} from '@fireflytrack/time';
 import {PolicyExchange} from './policy-exchange.js';
 import {StoreProgress} from './store-progress.js';
-import {FreshnessLease} from './freshness-lease.js';
 
 export interface PolicyHolderOptions {
   /** The feed that delivers changes. */
@@ -24,6 +23,8 @@
   reader: ChangeFeed<TrafficPolicy>;
   /** Longest wait of one feed call for changes. */
   waitMs: number;
+  /** Longest wait of the first read for a leader. */
+  startWaitMs?: number;
   logger: Logger;
 }
 
@@ -31,24 +32,18 @@
 // change carries the complete policy, so that versions can be skipped when many
 // changes follow each other.
 const CHANGE_PAUSE_MS = 50;
-// A leader whose last confirmation is older than the wait of its own calls and this
-// makes others read the store themselves.
-export const RELAY_AGE_MARGIN_MS = 400;
 
 // Bounds the log line about parts that are not taken.
 const MAX_LOGGED_NOTICES = 10;
 const MAX_NOTICE_CHARS = 200;
 
 export class PolicyHolder {
-  readonly lease = FreshnessLease.create();
-  /** Relays the policy to the other instances of the zone. */
-  readonly relay: FeedRelay<TrafficPolicy>;
+  /** The policy as the instances of the fleet read it for each other. */
+  readonly feed: SharedFeed<TrafficPolicy>;
   /** Exchanges the newest policy with zone leaders. */
   readonly exchange: PolicyExchange;
   private table: PolicyTable | undefined;
-  private readonly follower: FeedFollower<TrafficPolicy>;
   private pendingConfirmation: Promise<void> | undefined;
-  private callSentAt: ClockReading = readClocks();
   private readonly store = StoreProgress.create();
   /** The last confirmation before a leader was asked. */
   private firstConfirmation:
@@ -56,28 +51,23 @@
     | undefined;
 
   private constructor(private readonly options: PolicyHolderOptions) {
-    const {feed, waitMs, logger} = options;
-    this.relay = FeedRelay.create<TrafficPolicy>(
-      {name: 'policy', maxAgeMs: waitMs + RELAY_AGE_MARGIN_MS},
-      () => this.lease.ageMs(),
-    );
+    const {logger} = options;
     this.exchange = PolicyExchange.create({
       current: () => this.table?.policy,
       offer: policy => this.applyIfNewer(policy),
       onAsked: () => this.endLeaderWait(),
       logger,
     });
-    this.follower = FeedFollower.create({
-      name: 'policy feed',
-      feed,
-      waitMs,
+    this.feed = SharedFeed.create<TrafficPolicy>({
+      name: 'policy',
+      logName: 'policy feed',
+      direct: options.feed,
+      itemSchema: trafficPolicySchema,
+      waitMs: options.waitMs,
       pauseMs: CHANGE_PAUSE_MS,
+      startWaitMs: options.startWaitMs,
       listener: {
-        onCallStart: () => (this.callSentAt = readClocks()),
-        onPage: (page, complete) => {
-          this.applyPage(page, this.callSentAt);
-          this.relay.storePage(page, complete);
-        },
+        onPage: (page, _complete, sentAt) => this.applyPage(page, sentAt),
       },
       logger,
     });
@@ -87,12 +77,17 @@
     return new PolicyHolder(options);
   }
 
+  /** How long ago the store confirmed the policy in force. */
+  get lease(): FreshnessLease {
+    return this.feed.lease;
+  }
+
   start(): void {
-    this.follower.start();
+    this.feed.start();
   }
 
   async stop(): Promise<void> {
-    await this.follower.stop();
+    await this.feed.stop();
     await this.options.reader.close();
   }
 
@@ -139,7 +134,7 @@
     this.firstConfirmation = undefined;
     if (first && this.store.isComplete) {
       this.lease.confirm(first.sentAt, first.offsetMs);
-      this.relay.announceConfirmation();
+      this.feed.announceConfirmation();
     }
   }
 
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -7,13 +7,14 @@
   FailureExchangeOptions,
   ServerFailure,
 } from './lib/failure-exchange.js';
-export {FeedRelay} from './lib/feed-relay.js';
-export {RelayedFeed} from './lib/relayed-feed.js';
+export {FreshnessLease} from './lib/freshness-lease.js';
 export type {RelayAccess} from './lib/relayed-feed.js';
 export type {Leader} from './lib/leader-row.js';
 export type {RateDecision, RateLimiter} from './lib/rate-limiter.js';
 export type {RateBounds} from './lib/zone-buckets.js';
 export type {LimitElection} from './lib/zone-limit-grants.js';
+export {SharedFeed} from './lib/shared-feed.js';
+export type {SharedFeedListener, SharedFeedOptions} from './lib/shared-feed.js';
 export {ZoneLimitGrants} from './lib/zone-limit-grants.js';
 export {ZoneBuckets} from './lib/zone-buckets.js';
 export {ZoneMember} from './lib/zone-member.js';
--- a/packages/zone/src/lib/zone-member.ts
+++ b/packages/zone/src/lib/zone-member.ts
@@ -23,8 +23,8 @@
 } from './fleet-secret.js';
 import {FailureExchange} from './failure-exchange.js';
 import type {ServerFailure} from './failure-exchange.js';
-import type {FeedRelay} from './feed-relay.js';
-import type {RelayAccess, RelayedFeed} from './relayed-feed.js';
+import type {RelayAccess} from './relayed-feed.js';
+import type {SharedFeed} from './shared-feed.js';
 import {FLEET_SECRET_KEY, findRowVersion} from './leader-row.js';
 import type {Leader} from './leader-row.js';
 import type {RateDecision, RateLimiter} from './rate-limiter.js';
@@ -54,7 +54,7 @@
   /** Upper estimate of the running instances. */
   estimateInstances(): number;
   /** Feeds that the leader reads on behalf of the zone. */
-  relays: RelayPair[];
+  feeds: Pick<SharedFeed<never>, 'join'>[];
   followers: LeaderFollower[];
   /** Called when another instance reports a failed backend server. */
   onServerFailure(failure: ServerFailure): void;
@@ -71,12 +71,6 @@
   becomeLeader(): void;
 }
 
-/** A feed that this instance reads, and the relay that serves it to others. */
-export interface RelayPair {
-  feed: Pick<RelayedFeed<never>, 'useRelay'>;
-  relay: Pick<FeedRelay<never>, 'serve'>;
-}
-
 // Spreads the first reads and writes of instances that start together.
 const START_JITTER_MS = 150;
 const TABLE_RETRY_MS = 300;
@@ -246,10 +240,7 @@
       election,
       onFailure: failure => this.options.onServerFailure(failure),
     });
-    for (const {feed, relay} of this.options.relays) {
-      relay.serve(network, election);
-      feed.useRelay({network, election});
-    }
+    for (const feed of this.options.feeds) feed.join({network, election});
     election.start(tableState.rows);
   }
 
--- a/packages/zone/src/test/odd-leader-row_test.ts
+++ b/packages/zone/src/test/odd-leader-row_test.ts
@@ -126,7 +126,7 @@
       findTeam: () => undefined,
       limits: KnownLimits.create(logger),
       estimateInstances: () => 1,
-      relays: [],
+      feeds: [],
       followers: [],
       onServerFailure: () => {},
       logger,
