Log and measure from where a feed is read, and how old it was

A policy that is taken is logged with its source, the source's age, how long it held the request, and the age of the last confirmation here; changes between leaders and the store are logged with their reason. Two metrics: a histogram of that age by feed, and pages by source.

--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -7,6 +7,7 @@
 export type {
   ChangeFeed,
   FeedError,
+  FeedOrigin,
   FeedPage,
   FeedPosition,
   FeedRow,
--- a/packages/discovery/src/lib/change-feed.ts
+++ b/packages/discovery/src/lib/change-feed.ts
@@ -22,6 +22,15 @@
   revision: number;
 }
 
+/** The instance that relayed a page, and its state when it responded. */
+export interface FeedOrigin {
+  leader: string;
+  /** Age of the leader's own confirmation, in milliseconds. */
+  ageMs: number;
+  /** How long the leader held the request, in milliseconds. */
+  heldMs: number;
+}
+
 export interface FeedPage<Item> {
   rows: FeedRow<Item>[];
   /** Latest position that the page covers. */
@@ -32,6 +41,8 @@
    * the page; positive when the table waited and nothing changed.
    */
   confirmedOffsetMs: number;
+  /** Absent if the page came from the table itself. */
+  origin?: FeedOrigin;
 }
 
 export type FeedError =
--- a/packages/gateway/src/lib/gateway-metrics.ts
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -3,6 +3,7 @@
  * docs/OPERATIONS.md lists them.
  */
 import type {ServerBeliefs} from '@fireflytrack/upstream';
+import type {FeedObservation} from '@fireflytrack/zone';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Gauge values, read at each scrape. */
@@ -25,11 +26,15 @@
   bodyMemoryBytes(): number;
 }
 
+const MS_PER_SECOND = 1000;
 // Covers the latency objectives of the services, which are 1 to 5 seconds.
 const LATENCY_BUCKETS_SECONDS = [
   0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10,
 ];
 
+// Covers the promises on configurations and on servers that leave.
+const FEED_AGE_BUCKETS_SECONDS = [0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10];
+
 export class GatewayMetrics {
   private readonly registry = new Registry();
   private readonly requests = new Counter({
@@ -51,6 +56,20 @@
     registers: [this.registry],
   });
 
+  private readonly feedAges = new Histogram({
+    name: 'fireflytrack_feed_age_seconds',
+    help: 'Age of the last confirmation of a feed when the next one came.',
+    labelNames: ['feed'] as const,
+    buckets: FEED_AGE_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+  private readonly feedPages = new Counter({
+    name: 'fireflytrack_feed_pages_total',
+    help: 'Pages of a feed by source: "leader" or "store".',
+    labelNames: ['feed', 'source'] as const,
+    registers: [this.registry],
+  });
+
   private constructor(readers: GaugeReaders) {
     const gauges: [string, string, () => number][] = [
       ['requests_in_flight', 'Open requests.', readers.requestsInFlight],
@@ -187,10 +206,18 @@
   /** Counts a finished request that took `tookMs` and `attempts` attempts. */
   recordRequest(outcome: string, tookMs: number, attempts: number): void {
     this.requests.inc({outcome});
-    this.durations.observe({outcome}, tookMs / 1000);
+    this.durations.observe({outcome}, tookMs / MS_PER_SECOND);
     if (attempts > 1) this.retries.inc(attempts - 1);
   }
 
+  /** Counts a page of a feed. */
+  recordFeedPage({feed, ageMs, isRelayed}: FeedObservation): void {
+    this.feedPages.inc({feed, source: isRelayed ? 'leader' : 'store'});
+    if (Number.isFinite(ageMs)) {
+      this.feedAges.observe({feed}, ageMs / MS_PER_SECOND);
+    }
+  }
+
   get contentType(): string {
     return this.registry.contentType;
   }
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '@fireflytrack/telemetry';
 import {CrashSuspects, KnownLimits, Upstream} from '@fireflytrack/upstream';
 import {CrashExchange, SharedFeed, ZoneMember} from '@fireflytrack/zone';
+import type {FeedObservation} from '@fireflytrack/zone';
 import {randomUUID} from 'node:crypto';
 import moleculer from 'moleculer';
 import type {ServiceBroker} from 'moleculer';
@@ -66,6 +67,7 @@
   private readonly connections = CallerConnections.create();
   private readonly callerServer: CallerServer;
   private readonly readyServer: StatusServer;
+  private readonly metrics: GatewayMetrics;
   private readonly metricsServer: StatusServer | undefined;
   private stopping: Promise<void> | undefined;
   /** Resolves with the reason when the process cannot join the fleet. */
@@ -81,6 +83,8 @@
     const isFirstStart = instance.first_start === 'true';
     const startWaitMs = isFirstStart ? startDelayMs + LEADER_WAIT_MS : 0;
     const waits = chooseFeedWaits(settings);
+    const observe = (observation: FeedObservation) =>
+      this.metrics.recordFeedPage(observation);
     const linesPerSecond = log.lines_per_second;
     this.log = RateLimitedLog.create({logger, linesPerSecond});
     this.policies = PolicyHolder.create({
@@ -88,6 +92,7 @@
       reader: sources.policyReader,
       waitMs: waits.policyMs,
       startWaitMs,
+      observe,
       logger,
     });
     const headerNames = toHeaderNames(settings);
@@ -148,6 +153,7 @@
         onRecovered: () => this.catalog.onStoreRecovered(),
         onRestored: () => this.catalog.onStoreRestored(),
       },
+      observe,
       logger,
     });
     let onJoinFailed: (error: unknown) => void = () => {};
@@ -184,7 +190,7 @@
         this.upstream.recordReportedFailure(serverId, service),
       logger,
     });
-    const metrics = GatewayMetrics.create({
+    this.metrics = GatewayMetrics.create({
       requestsInFlight: () => this.requestHandler.requestsInFlight,
       policyVersion: () => this.policies.current()?.version ?? 0,
       policyNotices: () => this.policies.current()?.policy.notices?.length ?? 0,
@@ -204,7 +210,7 @@
     });
     this.requestHandler = RequestHandler.create({
       connections: this.connections,
-      metrics,
+      metrics: this.metrics,
       policies: this.policies,
       upstream: this.upstream,
       limiter: this.zone,
@@ -227,7 +233,7 @@
       ...entry.ready_listen,
       pages: {[entry.ready_path]: () => ({status: this.isReady() ? 200 : 503})},
     });
-    this.metricsServer = createMetricsServer(settings, metrics);
+    this.metricsServer = createMetricsServer(settings, this.metrics);
     this.dump.register('servers', () => this.upstream.dumpState());
     this.dump.register('server limits', () => this.limits.list());
     this.dump.register('suspected requests', () => suspects.dumpState());
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -4,13 +4,13 @@
  * Changes arrive through a feed. Before a request is denied, the policy is read
  * directly once, because the change that allows it may still be in transit.
  */
-import type {ChangeFeed, FeedPage} from '@fireflytrack/discovery';
+import type {ChangeFeed, FeedOrigin, FeedPage} from '@fireflytrack/discovery';
 import {PolicyTable, trafficPolicySchema} from '@fireflytrack/policy';
 import type {TrafficPolicy} from '@fireflytrack/policy';
 import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {SharedFeed} from '@fireflytrack/zone';
-import type {FreshnessLease} from '@fireflytrack/zone';
+import type {FeedObservation, FreshnessLease} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
 import type {ClockReading} from '@fireflytrack/time';
 import {PolicyExchange} from './policy-exchange.js';
@@ -25,6 +25,8 @@
   waitMs: number;
   /** Longest wait of the first read for a leader. */
   startWaitMs?: number;
+  /** Called with each page of the feed. */
+  observe?(observation: FeedObservation): void;
   logger: Logger;
 }
 
@@ -66,6 +68,7 @@
       waitMs: options.waitMs,
       pauseMs: CHANGE_PAUSE_MS,
       startWaitMs: options.startWaitMs,
+      observe: options.observe,
       listener: {
         onPage: (page, _complete, sentAt) => this.applyPage(page, sentAt),
       },
@@ -121,7 +124,7 @@
   private applyPage(page: FeedPage<TrafficPolicy>, sentAt: ClockReading): void {
     this.store.record(page, this.table?.version ?? -1);
     for (const {item} of page.rows) {
-      if (item) this.applyIfNewer(item);
+      if (item) this.applyIfNewer(item, page.origin);
     }
     const offsetMs = page.confirmedOffsetMs;
     if (this.store.awaitsLeader) this.firstConfirmation = {sentAt, offsetMs};
@@ -151,16 +154,31 @@
     });
   }
 
-  private applyIfNewer(policy: TrafficPolicy): void {
+  private applyIfNewer(policy: TrafficPolicy, origin?: FeedOrigin): void {
     const current = this.table?.version ?? -1;
     if (policy.version <= current) return;
     this.table = PolicyTable.create(policy, this.table);
+    const ageMs = this.lease.ageMs();
     this.options.logger.info('policy in force', {
       version: policy.version,
       replaced: current,
       routes: policy.routes.length,
       teams: policy.teams?.length ?? 0,
+      // Since the last confirmation, before the first of which there is none.
+      ...(Number.isFinite(ageMs) ? {ageMs: Math.round(ageMs)} : {}),
+      ...describeOrigin(origin),
     });
     this.logNotices(policy);
   }
 }
+
+/** Fields of a log line that say from where a policy came. */
+function describeOrigin(origin: FeedOrigin | undefined): object {
+  if (!origin) return {source: 'store'};
+  const {leader, ageMs, heldMs} = origin;
+  return {
+    source: leader,
+    sourceAgeMs: Math.round(ageMs),
+    heldMs: Math.round(heldMs),
+  };
+}
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -14,7 +14,11 @@
 export type {RateBounds} from './lib/zone-buckets.js';
 export type {LimitElection} from './lib/zone-limit-grants.js';
 export {SharedFeed} from './lib/shared-feed.js';
-export type {SharedFeedListener, SharedFeedOptions} from './lib/shared-feed.js';
+export type {
+  FeedObservation,
+  SharedFeedListener,
+  SharedFeedOptions,
+} from './lib/shared-feed.js';
 export {ZoneLimitGrants} from './lib/zone-limit-grants.js';
 export {ZoneBuckets} from './lib/zone-buckets.js';
 export {ZoneMember} from './lib/zone-member.js';
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -68,6 +68,11 @@
   /** Keys of rows that were not taken, until they are taken. */
   private readonly loggedRows = new Set<string | undefined>();
   private loggedPage = false;
+  /** Instance that the last page came from; undefined for the table. */
+  private source: string | undefined;
+  private hasSource = false;
+  /** Why the table is read. */
+  private directReason = '';
 
   private constructor(private readonly options: RelayedFeedOptions<Item>) {}
 
@@ -86,7 +91,9 @@
       era: minEra,
       waitMs: FIRST_READ_WAIT_MS,
     });
-    return relayed ?? this.options.direct.readAll(minEra);
+    if (relayed) return relayed;
+    this.recordSource(undefined);
+    return this.options.direct.readAll(minEra);
   }
 
   async changesAfter(
@@ -99,7 +106,9 @@
       era: position.era,
       waitMs: relayWaitMs,
     });
-    return relayed ?? this.options.direct.changesAfter(position, waitMs);
+    if (relayed) return relayed;
+    this.recordSource(undefined);
+    return this.options.direct.changesAfter(position, waitMs);
   }
 
   close(): Promise<void> {
@@ -124,10 +133,13 @@
     request: RelayRequest,
   ): Promise<Result<FeedPage<Item>, FeedError> | undefined> {
     const leader = this.access?.election.feedSource;
-    if (!this.access || !leader) return undefined;
+    if (!this.access || !leader) {
+      this.directReason = 'no leader is known';
+      return undefined;
+    }
     if (performance.now() < this.readDirectUntilMs) return undefined;
     if (!(await this.access.election.connect(leader, CONNECT_TIMEOUT_MS))) {
-      this.readDirectUntilMs = performance.now() + DIRECT_READ_PERIOD_MS;
+      this.readDirectFor(`leader ${leader.instanceId} is not reached`);
       return undefined;
     }
     const sentAtMs = performance.now();
@@ -141,7 +153,8 @@
       ? relayResponseSchema.safeParse(response.val)
       : undefined;
     if (!parsed?.success) {
-      this.readDirectUntilMs = performance.now() + DIRECT_READ_PERIOD_MS;
+      const reason = response.ok ? 'odd page' : response.val.message;
+      this.readDirectFor(`leader ${leader.instanceId}: ${reason}`);
       if (parsed) this.logPage(leader.instanceId, parsed.error);
       return undefined;
     }
@@ -157,7 +170,32 @@
     const confirmedOffsetMs = confirmedAtMs - Math.max(0, ageMs);
     const items = rows.flatMap(row => this.parseRow(row) ?? []);
     const position = {era, revision};
-    return Ok({rows: items, position, confirmedOffsetMs});
+    const origin = {
+      leader: leader.instanceId,
+      ageMs,
+      heldMs: heldMs ?? elapsedMs,
+    };
+    this.recordSource(leader.instanceId);
+    return Ok({rows: items, position, confirmedOffsetMs, origin});
+  }
+
+  private readDirectFor(reason: string): void {
+    this.readDirectUntilMs = performance.now() + DIRECT_READ_PERIOD_MS;
+    this.directReason = reason;
+  }
+
+  /** Logs when the feed changes between leaders and the table. */
+  private recordSource(source: string | undefined): void {
+    if (source === this.source && this.hasSource) return;
+    this.hasSource = true;
+    this.source = source;
+    const {name, logger} = this.options;
+    const reason = toLogText(this.directReason);
+    logger?.info('feed source', {
+      feed: name,
+      source: source ?? 'store',
+      ...(source === undefined ? {reason} : {}),
+    });
   }
 
   /** Returns undefined for a row without a key. */
--- a/packages/zone/src/lib/shared-feed.ts
+++ b/packages/zone/src/lib/shared-feed.ts
@@ -37,9 +37,19 @@
   /** Longest wait of the first read for a leader, in milliseconds. */
   startWaitMs?: number;
   listener: SharedFeedListener<Item>;
+  /** Called with each page, before it is passed on. */
+  observe?(observation: FeedObservation): void;
   logger: Logger;
 }
 
+export interface FeedObservation {
+  /** Name of the feed in messages. */
+  feed: string;
+  /** Age of the last confirmation; Infinity before the first. */
+  ageMs: number;
+  isRelayed: boolean;
+}
+
 // Longest wait of a relayed call beyond that of a call to the table. A leader
 // responds earlier, when its own feed was confirmed.
 const RELAY_WAIT_MARGIN_MS = 100;
@@ -77,6 +87,9 @@
       listener: {
         onCallStart: () => (this.callSentAt = readClocks()),
         onPage: (page, complete) => {
+          const ageMs = this.lease.ageMs();
+          const isRelayed = page.origin !== undefined;
+          options.observe?.({feed: name, ageMs, isRelayed});
           listener.onPage(page, complete, this.callSentAt);
           this.relay.storePage(page, complete);
         },
