Bound the age of what each instance knows of a feed

What callers saw: routes by an older configuration, and requests at servers that had left, more than the promised 3 s after the change, from instances that reached the store all the time.

Cause: an instance asked its leader for changes and trusted it to answer. A leader that had lost the store without noticing held the request for its wait and 100 ms, answered with a confirmation that was up to 400 ms (600 if relayed) beyond its wait, and then held the next request as long again: 4.5 s with a wait of 2 s, 2.5 s with 1 s against a promise of 2 s. Each bound was sound by itself; nothing kept their sum.

Change: an instance watches the age of its own last confirmation, counted from the store through all relays, and reads the store when the age reaches a limit. Requests to leaders end before it, calls to the store end when the age is the wait, and pauses that batch changes are cut to it. FeedTiming derives wait and limits from the promise, and a wait in the settings that leaves too little is logged at the start. Leaders have the lower limit, members a drawn one, so that only the zone of a lost reader and the leaders of its region call the store. An instance that gets nothing from the store asks its leader again in turn.

--- a/packages/discovery/src/lib/feed-follower.ts
+++ b/packages/discovery/src/lib/feed-follower.ts
@@ -42,6 +42,8 @@
   waitMs: number;
   /** Pause after a call that returned changes; batches the next changes. */
   pauseMs: number;
+  /** Longest pause at present; not limited if absent. */
+  maxPauseMs?(): number;
   logger: Logger;
 }
 
@@ -107,7 +109,8 @@
     this.recordEra(era);
     this.position = page.val.position;
     this.passOn(page.val, complete);
-    return page.val.rows.length > 0 ? pauseMs : 0;
+    if (page.val.rows.length === 0) return 0;
+    return Math.min(pauseMs, this.options.maxPauseMs?.() ?? pauseMs);
   }
 
   private async read(
--- a/packages/gateway/src/lib/derived-settings.ts
+++ b/packages/gateway/src/lib/derived-settings.ts
@@ -1,12 +1,8 @@
 /** Values that follow from the settings of a gateway process. */
 import type {HeaderNames} from '@fireflytrack/upstream';
+import {FeedTiming} from '@fireflytrack/zone';
 import type {GatewaySettings} from './gateway-settings.js';
 
-// What a promise leaves for noticing a silent connection and reading again, and
-// the bounds of the waits that follow from it.
-const FEED_WAIT_RESERVE_MS = 1000;
-const MIN_FEED_WAIT_MS = 300;
-const MAX_FEED_WAIT_MS = 2000;
 // When the fleet starts for the first time, instances join one after the other,
 // the large ones first: they become leaders, and the others find them. Otherwise
 // all would write the same rows at the same time.
@@ -32,27 +28,24 @@
   };
 }
 
-/**
- * Chooses the longest waits of calls for changes. A connection that has gone
- * silent shows only at the end of one, which has to leave time for reading the
- * changes within the promises.
- */
-export function chooseFeedWaits({
+/** Chooses the waits of the feeds and the limits on their ages. */
+export function chooseFeedTimings({
   store,
   promises,
 }: Pick<GatewaySettings, 'store' | 'promises'>): {
-  policyMs: number;
-  serversMs: number;
+  policy: FeedTiming;
+  servers: FeedTiming;
 } {
   const {policy_apply_ms, server_leave_ms = policy_apply_ms} = promises;
-  const derive = (promiseMs: number) =>
-    Math.max(
-      MIN_FEED_WAIT_MS,
-      Math.min(promiseMs - FEED_WAIT_RESERVE_MS, MAX_FEED_WAIT_MS),
-    );
   return {
-    policyMs: store.policy_wait_ms ?? derive(policy_apply_ms),
-    serversMs: store.servers_wait_ms ?? derive(server_leave_ms),
+    policy: FeedTiming.create({
+      promiseMs: policy_apply_ms,
+      waitMs: store.policy_wait_ms,
+    }),
+    servers: FeedTiming.create({
+      promiseMs: server_leave_ms,
+      waitMs: store.servers_wait_ms,
+    }),
   };
 }
 
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -16,7 +16,7 @@
 import {BodyMemory} from './body-memory.js';
 import {
   chooseBodyMemoryBytes,
-  chooseFeedWaits,
+  chooseFeedTimings,
   chooseStartDelayMs,
   toHeaderNames,
 } from './derived-settings.js';
@@ -82,7 +82,12 @@
     const startDelayMs = chooseStartDelayMs(settings);
     const isFirstStart = instance.first_start === 'true';
     const startWaitMs = isFirstStart ? startDelayMs + LEADER_WAIT_MS : 0;
-    const waits = chooseFeedWaits(settings);
+    const timings = chooseFeedTimings(settings);
+    for (const [feed, timing] of Object.entries(timings)) {
+      if (timing.keepsPromise) continue;
+      const {promiseMs, waitMs} = timing;
+      logger.warn('feed wait too long for promise', {feed, promiseMs, waitMs});
+    }
     const observe = (observation: FeedObservation) =>
       this.metrics.recordFeedPage(observation);
     const linesPerSecond = log.lines_per_second;
@@ -90,7 +95,7 @@
     this.policies = PolicyHolder.create({
       feed: sources.policyFeed,
       reader: sources.policyReader,
-      waitMs: waits.policyMs,
+      timing: timings.policy,
       startWaitMs,
       observe,
       logger,
@@ -141,7 +146,7 @@
       logName: 'server feed',
       direct: sources.serverFeed,
       itemSchema: discoveredServerSchema,
-      waitMs: waits.serversMs,
+      timing: timings.servers,
       pauseMs: store.servers_pause_ms,
       startWaitMs,
       listener: {
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -10,7 +10,11 @@
 import {toLogText} from '@fireflytrack/telemetry';
 import type {Logger} from '@fireflytrack/telemetry';
 import {SharedFeed} from '@fireflytrack/zone';
-import type {FeedObservation, FreshnessLease} from '@fireflytrack/zone';
+import type {
+  FeedObservation,
+  FeedTiming,
+  FreshnessLease,
+} from '@fireflytrack/zone';
 import {readClocks} from '@fireflytrack/time';
 import type {ClockReading} from '@fireflytrack/time';
 import {PolicyExchange} from './policy-exchange.js';
@@ -21,8 +25,7 @@
   feed: ChangeFeed<TrafficPolicy>;
   /** Serves direct reads; must not share a connection with `feed`. */
   reader: ChangeFeed<TrafficPolicy>;
-  /** Longest wait of one feed call for changes. */
-  waitMs: number;
+  timing: FeedTiming;
   /** Longest wait of the first read for a leader. */
   startWaitMs?: number;
   /** Called with each page of the feed. */
@@ -65,7 +68,7 @@
       logName: 'policy feed',
       direct: options.feed,
       itemSchema: trafficPolicySchema,
-      waitMs: options.waitMs,
+      timing: options.timing,
       pauseMs: CHANGE_PAUSE_MS,
       startWaitMs: options.startWaitMs,
       observe: options.observe,
--- a/packages/gateway/src/test/derived-settings_test.ts
+++ b/packages/gateway/src/test/derived-settings_test.ts
@@ -6,7 +6,7 @@
 import {describe, it} from 'node:test';
 import {
   chooseBodyMemoryBytes,
-  chooseFeedWaits,
+  chooseFeedTimings,
   chooseStartDelayMs,
 } from '../lib/derived-settings.js';
 import type {GatewaySettings} from '../lib/gateway-settings.js';
@@ -15,16 +15,24 @@
 type Store = GatewaySettings['store'];
 type Instance = GatewaySettings['instance'];
 
-function waitsFor(
+function timingsFor(
   promises: Partial<Promises>,
   store: Partial<Store> = {},
-): {policyMs: number; serversMs: number} {
-  return chooseFeedWaits({
+): ReturnType<typeof chooseFeedTimings> {
+  return chooseFeedTimings({
     promises: promises as Promises,
     store: store as Store,
   });
 }
 
+function waitsFor(
+  promises: Partial<Promises>,
+  store: Partial<Store> = {},
+): {policyMs: number; serversMs: number} {
+  const {policy, servers} = timingsFor(promises, store);
+  return {policyMs: policy.waitMs, serversMs: servers.waitMs};
+}
+
 function delaysFor(instance: Partial<Instance>): number[] {
   return Array.from({length: 100}, () =>
     chooseStartDelayMs({instance: instance as Instance}),
@@ -54,6 +62,28 @@
       expect(waits.serversMs).toEqual(waits.policyMs);
     });
 
+    // Guards against members that leave a leader too late, whatever it holds.
+    for (const promiseMs of [1300, 1500, 2000, 3000, 10_000]) {
+      it(`let every instance read the table within ${promiseMs} ms`, () => {
+        const {policy} = timingsFor({policy_apply_ms: promiseMs});
+        expect(policy.keepsPromise).toEqual(true);
+        for (let draw = 0; draw < 100; draw += 1) {
+          const leaderMs = policy.drawLimitMs(true);
+          const memberMs = policy.drawLimitMs(false);
+          expect(policy.waitMs + 250 < leaderMs).toEqual(true);
+          expect(leaderMs < memberMs).toEqual(true);
+          expect(memberMs + 450 <= promiseMs).toEqual(true);
+        }
+      });
+    }
+
+    it('say when a promise is too short for them', () => {
+      const short = timingsFor({policy_apply_ms: 1299});
+      expect(short.policy.keepsPromise).toEqual(false);
+      const long = timingsFor({policy_apply_ms: 2000}, {policy_wait_ms: 1001});
+      expect(long.policy.keepsPromise).toEqual(false);
+    });
+
     it('are taken from the settings if they are set', () => {
       const waits = waitsFor(
         {policy_apply_ms: 3000, server_leave_ms: 3000},
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -7,6 +7,7 @@
   FailureExchangeOptions,
   ServerFailure,
 } from './lib/failure-exchange.js';
+export {FeedTiming} from './lib/feed-timing.js';
 export {FreshnessLease} from './lib/freshness-lease.js';
 export type {RelayAccess} from './lib/relayed-feed.js';
 export type {Leader} from './lib/leader-row.js';
--- a/packages/zone/src/lib/feed-relay.ts
+++ b/packages/zone/src/lib/feed-relay.ts
@@ -62,8 +62,8 @@
   z.object({kind: z.literal('history-gone')}),
 ]);
 export type RelayResponse = z.infer<typeof relayResponseSchema>;
+export type RelayPage = Extract<RelayResponse, {kind: 'page'}>;
 
-const RELAYED_AGE_MARGIN_MS = 200;
 // Removed rows are kept as tombstones for members that read changes; older
 // ones are rarely requested.
 const MAX_TOMBSTONES = 2000;
@@ -79,7 +79,6 @@
   /** All changes of the era after this revision are available. */
   private completeSince = Infinity;
   private readonly waiting = new Set<() => void>();
-  private election: Pick<ZoneElection, 'feedSource'> | undefined;
 
   private constructor(
     private readonly options: FeedRelayOptions,
@@ -98,11 +97,7 @@
   }
 
   /** Starts serving requests. */
-  serve(
-    network: PeerNetwork,
-    election: Pick<ZoneElection, 'isLeader' | 'feedSource'>,
-  ): void {
-    this.election = election;
+  serve(network: PeerNetwork, election: Pick<ZoneElection, 'isLeader'>): void {
     const kind = FeedRelay.requestKind(this.options.name);
     network.onRequest(kind, (_from, payload) => {
       if (!election.isLeader) throw new Error('does not lead the zone');
@@ -129,15 +124,6 @@
     for (const wake of [...this.waiting]) wake();
   }
 
-  /**
-   * A leader that reads from another one needs a moment longer to notice that it
-   * has to read the table itself.
-   */
-  private get maxAgeMs(): number {
-    const isRelayed = this.election?.feedSource !== undefined;
-    return this.options.maxAgeMs + (isRelayed ? RELAYED_AGE_MARGIN_MS : 0);
-  }
-
   private storeRow(
     key: string,
     item: Item | undefined,
@@ -184,7 +170,7 @@
   private isFresh({era}: RelayRequest): boolean {
     const isKnown =
       this.position.revision >= 0 && (era ?? 0) <= this.position.era;
-    return isKnown && this.ageMs() <= this.maxAgeMs;
+    return isKnown && this.ageMs() <= this.options.maxAgeMs;
   }
 
   /** Whether the changes after the member's position are stored. */
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -2,6 +2,10 @@
  * A feed that is read from a leader while one is reachable, and directly from the
  * table otherwise. Both sources use the table's positions, so a reader
  * can switch between them without reading all rows again.
+ *
+ * A leader may have lost the table, be silent or be slow without this instance
+ * knowing. The age of the last confirmation decides, therefore: at a limit the
+ * table is read, and no request to a leader is held beyond it.
  */
 import type {
   ChangeFeed,
@@ -18,15 +22,23 @@
 import type {PeerNetwork} from '@fireflytrack/wire';
 import type {z} from 'zod';
 import {FeedRelay, relayResponseSchema, relayRowSchema} from './feed-relay.js';
-import type {RelayRequest} from './feed-relay.js';
+import type {
+  AgeReader,
+  RelayPage,
+  RelayRequest,
+  RelayResponse,
+} from './feed-relay.js';
+import type {FeedLimits} from './feed-timing.js';
+import type {Leader} from './leader-row.js';
 import type {ZoneElection} from './zone-election.js';
 
 export interface RelayedFeedOptions<Item> {
   name: string;
   direct: ChangeFeed<Item>;
   itemSchema: z.ZodType<Item>;
-  /** Longest time that the leader may hold a request open, in milliseconds. */
-  relayWaitMs: number;
+  timing: Pick<FeedLimits, 'waitMs' | 'drawLimitMs'>;
+  /** Age of the last confirmation that this feed returned. */
+  ageMs: AgeReader;
   /**
    * Longest wait of the first read for a leader to read from, in milliseconds. A
    * fleet that starts would otherwise read the table once for each instance.
@@ -50,9 +62,13 @@
 // Longest wait for a leader that has just started itself.
 const FIRST_READ_WAIT_MS = 500;
 
-// Added to the requested wait. A leader responds within milliseconds after it;
-// a slow leader must not delay changes for longer than the table would.
-const RELAY_TIMEOUT_MARGIN_MS = 400;
+const FIRST_READ_TIMEOUT_MS = 900;
+// A leader is asked to respond this long before the age reaches its limit.
+const RESPONSE_MARGIN_MS = 50;
+// A request that could be held for less is not sent to a leader.
+const MIN_HOLD_MS = 20;
+// Longest request to a leader after the table was read in vain.
+const RETRY_TIMEOUT_MS = 300;
 // After a failed request to the leader, the table is read for this long.
 const DIRECT_READ_PERIOD_MS = 2000;
 // Longest key of a table; only a faulty leader sends a longer one.
@@ -63,6 +79,8 @@
 export class RelayedFeed<Item> implements ChangeFeed<Item> {
   private access: RelayAccess | undefined;
   private readDirectUntilMs = 0;
+  /** Whether the last read of the table failed. */
+  private hasTableFailed = false;
   private hasStarted = false;
   private closed = false;
   /** Keys of rows that were not taken, until they are taken. */
@@ -87,28 +105,22 @@
 
   async readAll(minEra: number): Promise<Result<FeedPage<Item>, FeedError>> {
     await this.waitForLeader();
-    const relayed = await this.requestFromLeader({
-      era: minEra,
-      waitMs: FIRST_READ_WAIT_MS,
-    });
-    if (relayed) return relayed;
-    this.recordSource(undefined);
-    return this.options.direct.readAll(minEra);
+    const relayed = await this.requestFromLeader({era: minEra});
+    return relayed ?? this.readTable(() => this.options.direct.readAll(minEra));
   }
 
   async changesAfter(
     position: FeedPosition,
     waitMs: number,
   ): Promise<Result<FeedPage<Item>, FeedError>> {
-    const relayWaitMs = Math.min(waitMs, this.options.relayWaitMs);
-    const relayed = await this.requestFromLeader({
-      after: position.revision,
-      era: position.era,
-      waitMs: relayWaitMs,
-    });
+    const {revision: after, era} = position;
+    const relayed = await this.requestFromLeader({after, era});
     if (relayed) return relayed;
-    this.recordSource(undefined);
-    return this.options.direct.changesAfter(position, waitMs);
+    const {direct, timing, ageMs} = this.options;
+    const leftMs = Math.max(0, Math.round(timing.waitMs - ageMs()));
+    return this.readTable(() =>
+      direct.changesAfter(position, Math.min(waitMs, leftMs)),
+    );
   }
 
   close(): Promise<void> {
@@ -128,55 +140,116 @@
     }
   }
 
+  private async readTable(
+    read: () => Promise<Result<FeedPage<Item>, FeedError>>,
+  ): Promise<Result<FeedPage<Item>, FeedError>> {
+    this.recordSource(undefined);
+    const page = await read();
+    this.hasTableFailed = page.err && page.val.kind === 'unavailable';
+    return page;
+  }
+
   /** Returns undefined if the table has to be read instead. */
   private async requestFromLeader(
-    request: RelayRequest,
+    known: Omit<RelayRequest, 'waitMs'>,
   ): Promise<Result<FeedPage<Item>, FeedError> | undefined> {
     const leader = this.access?.election.feedSource;
     if (!this.access || !leader) {
       this.directReason = 'no leader is known';
       return undefined;
     }
-    if (performance.now() < this.readDirectUntilMs) return undefined;
-    if (!(await this.access.election.connect(leader, CONNECT_TIMEOUT_MS))) {
-      this.readDirectFor(`leader ${leader.instanceId} is not reached`);
+    const {hasTableFailed} = this;
+    const readsDirect = performance.now() < this.readDirectUntilMs;
+    if (readsDirect && !hasTableFailed) return undefined;
+    const timeoutMs = this.chooseTimeoutMs(this.access.election.isLeader);
+    if (timeoutMs === undefined) {
+      this.readDirectFor(`leader ${leader.instanceId}: confirmation is old`);
+      return undefined;
+    }
+    this.hasTableFailed = false;
+    const startedAtMs = performance.now();
+    const waits = !hasTableFailed;
+    const response = await this.askLeader(leader, known, {timeoutMs, waits});
+    if (response.err) {
+      this.readDirectFor(`leader ${leader.instanceId}: ${response.val}`);
       return undefined;
     }
+    if (response.val.kind === 'history-gone') {
+      const message = 'the leader does not have it';
+      return Err({kind: 'history-gone', message});
+    }
+    const elapsedMs = performance.now() - startedAtMs;
+    const page = this.toFeedPage(leader, response.val);
+    const ageMs = elapsedMs - page.confirmedOffsetMs;
+    const isNews = page.rows.length > 0 || ageMs < this.options.ageMs();
+    // A page without news must not end an outage.
+    if (hasTableFailed && !isNews) return undefined;
+    this.recordSource(leader.instanceId);
+    return Ok(page);
+  }
+
+  /**
+   * Returns how long a request to a leader may take; undefined if the table has
+   * to be read now.
+   */
+  private chooseTimeoutMs(isLeader: boolean): number | undefined {
+    const {timing, ageMs: readAgeMs} = this.options;
+    const ageMs = readAgeMs();
+    if (ageMs === Infinity) return FIRST_READ_TIMEOUT_MS;
+    const leftMs = timing.drawLimitMs(isLeader) - ageMs;
+    if (leftMs >= RESPONSE_MARGIN_MS + MIN_HOLD_MS) return leftMs;
+    return this.hasTableFailed ? RETRY_TIMEOUT_MS : undefined;
+  }
+
+  /** Returns a reason if the leader gives no page that can be read. */
+  private async askLeader(
+    leader: Leader,
+    known: Omit<RelayRequest, 'waitMs'>,
+    {timeoutMs, waits}: {timeoutMs: number; waits: boolean},
+  ): Promise<Result<RelayResponse, string>> {
+    const {network, election} = this.access!;
+    const giveUpAtMs = performance.now() + timeoutMs;
+    const connectMs = Math.min(CONNECT_TIMEOUT_MS, timeoutMs);
+    if (!(await election.connect(leader, connectMs))) {
+      return Err('is not reached');
+    }
+    const leftMs = giveUpAtMs - performance.now();
+    const longestMs = known.after === undefined ? FIRST_READ_WAIT_MS : Infinity;
+    const holdMs = Math.min(longestMs, leftMs - RESPONSE_MARGIN_MS);
+    const waitMs = waits ? Math.max(0, holdMs) : 0;
     const sentAtMs = performance.now();
-    const response = await this.access.network.request(
+    const response = await network.request(
       leader.instanceId,
       FeedRelay.requestKind(this.options.name),
-      request,
-      request.waitMs + RELAY_TIMEOUT_MARGIN_MS,
+      {...known, waitMs},
+      leftMs,
     );
-    const parsed = response.ok
-      ? relayResponseSchema.safeParse(response.val)
-      : undefined;
-    if (!parsed?.success) {
-      const reason = response.ok ? 'odd page' : response.val.message;
-      this.readDirectFor(`leader ${leader.instanceId}: ${reason}`);
-      if (parsed) this.logPage(leader.instanceId, parsed.error);
-      return undefined;
+    if (response.err) return Err(response.val.message);
+    const parsed = relayResponseSchema.safeParse(response.val);
+    if (!parsed.success) {
+      this.logPage(leader.instanceId, parsed.error);
+      return Err('odd page');
     }
     this.loggedPage = false;
-    if (parsed.data.kind === 'history-gone') {
-      const message = 'the leader does not have it';
-      return Err({kind: 'history-gone', message});
-    }
-    const {rows, era, revision, ageMs, heldMs} = parsed.data;
+    if (parsed.data.kind !== 'page') return Ok(parsed.data);
     const elapsedMs = performance.now() - sentAtMs;
-    const timedOut = rows.length === 0 && elapsedMs >= request.waitMs;
-    const confirmedAtMs = heldMs ?? (timedOut ? request.waitMs : 0);
-    const confirmedOffsetMs = confirmedAtMs - Math.max(0, ageMs);
-    const items = rows.flatMap(row => this.parseRow(row) ?? []);
-    const position = {era, revision};
-    const origin = {
-      leader: leader.instanceId,
-      ageMs,
-      heldMs: heldMs ?? elapsedMs,
+    const timedOut = parsed.data.rows.length === 0 && elapsedMs >= waitMs;
+    // A leader of an earlier build does not say how long it held the request.
+    const {heldMs = timedOut ? waitMs : 0} = parsed.data;
+    return Ok({...parsed.data, heldMs});
+  }
+
+  private toFeedPage(
+    {instanceId: leader}: Leader,
+    page: RelayPage,
+  ): FeedPage<Item> {
+    const {rows, era, revision, ageMs, heldMs = 0} = page;
+    return {
+      rows: rows.flatMap(row => this.parseRow(row) ?? []),
+      position: {era, revision},
+      confirmedOffsetMs: heldMs - Math.max(0, ageMs),
+      origin: {leader, ageMs, heldMs},
     };
-    this.recordSource(leader.instanceId);
-    return Ok({rows: items, position, confirmedOffsetMs, origin});
   }
 
   private readDirectFor(reason: string): void {
--- a/packages/zone/src/lib/shared-feed.ts
+++ b/packages/zone/src/lib/shared-feed.ts
@@ -10,6 +10,7 @@
 import type {ClockReading} from '@fireflytrack/time';
 import type {z} from 'zod';
 import {FeedRelay} from './feed-relay.js';
+import type {FeedLimits} from './feed-timing.js';
 import {FreshnessLease} from './freshness-lease.js';
 import {RelayedFeed} from './relayed-feed.js';
 import type {RelayAccess} from './relayed-feed.js';
@@ -30,8 +31,7 @@
   logName: string;
   direct: ChangeFeed<Item>;
   itemSchema: z.ZodType<Item>;
-  /** Longest wait of one call for changes, in milliseconds. */
-  waitMs: number;
+  timing: FeedLimits;
   /** Pause after a call that returned changes, in milliseconds. */
   pauseMs: number;
   /** Longest wait of the first read for a leader, in milliseconds. */
@@ -50,44 +50,46 @@
   isRelayed: boolean;
 }
 
-// Longest wait of a relayed call beyond that of a call to the table. A leader
-// responds earlier, when its own feed was confirmed.
-const RELAY_WAIT_MARGIN_MS = 100;
-// A leader whose last confirmation is older than the wait of its own calls and this
-// makes others read the table themselves.
-const RELAY_AGE_MARGIN_MS = 400;
-
 export class SharedFeed<Item> {
-  /** How long ago the table confirmed what this instance knows. */
+  /**
+   * How long ago the table confirmed what this instance knows. The listener
+   * renews it, because not every page confirms that nothing newer exists.
+   */
   readonly lease = FreshnessLease.create();
+  /** How long ago the table was read, whatever it held. */
+  private readonly lastRead = FreshnessLease.create();
   private readonly relay: FeedRelay<Item>;
   private readonly relayed: RelayedFeed<Item>;
   private readonly follower: FeedFollower<Item>;
   private callSentAt = readClocks();
 
   private constructor(options: SharedFeedOptions<Item>) {
-    const {name, waitMs, listener, logger} = options;
+    const {name, timing, listener, logger} = options;
     this.relay = FeedRelay.create<Item>(
-      {name, maxAgeMs: waitMs + RELAY_AGE_MARGIN_MS},
+      {name, maxAgeMs: timing.highestLimitMs},
       () => this.lease.ageMs(),
     );
     this.relayed = RelayedFeed.create<Item>({
       name,
       direct: options.direct,
       itemSchema: options.itemSchema,
-      relayWaitMs: waitMs + RELAY_WAIT_MARGIN_MS,
+      timing,
+      ageMs: () => this.lastRead.ageMs(),
       startWaitMs: options.startWaitMs,
       logger,
     });
     this.follower = FeedFollower.create({
       name: options.logName,
       feed: this.relayed,
-      waitMs,
+      waitMs: timing.waitMs,
       pauseMs: options.pauseMs,
+      // The next confirmation must not be later than without changes.
+      maxPauseMs: () => Math.max(0, timing.waitMs - this.lastRead.ageMs()),
       listener: {
         onCallStart: () => (this.callSentAt = readClocks()),
         onPage: (page, complete) => {
-          const ageMs = this.lease.ageMs();
+          const ageMs = this.lastRead.ageMs();
+          this.lastRead.confirm(this.callSentAt, page.confirmedOffsetMs);
           const isRelayed = page.origin !== undefined;
           options.observe?.({feed: name, ageMs, isRelayed});
           listener.onPage(page, complete, this.callSentAt);
--- a/packages/zone/src/test/feed-promise_test.ts
+++ b/packages/zone/src/test/feed-promise_test.ts
@@ -6,8 +6,13 @@
 import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'earl';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {FeedTiming} from '../lib/feed-timing.js';
 import {FeedFleet} from '../testing/feed-fleet.js';
-import type {FeedInstance, LateChange} from '../testing/feed-fleet.js';
+import type {
+  FeedFleetOptions,
+  FeedInstance,
+  LateChange,
+} from '../testing/feed-fleet.js';
 import {LINK_FAULTS} from '../testing/feed-table.js';
 import type {LinkFault} from '../testing/feed-table.js';
 
@@ -78,12 +83,16 @@
 
 describe('changes of a feed that instances read for each other', () => {
   let clock: Clock;
+  const {random: unseeded} = Math;
   beforeEach(() => {
     clock = FakeTimers.install({
       toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'],
     });
   });
-  afterEach(() => clock.uninstall());
+  afterEach(() => {
+    clock.uninstall();
+    Math.random = unseeded;
+  });
 
   async function advance(durationMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
@@ -94,11 +103,13 @@
 
   /** Plays disturbances in a row and returns the changes that came late. */
   async function play(
-    options: (typeof FLEETS)[keyof typeof FLEETS],
+    options: Omit<FeedFleetOptions, 'random'>,
     seed: number,
     disturb: Disturb,
   ): Promise<{late: LateChange[]; regressions: string[]}> {
     const random = createRandom(seed);
+    // The product draws from it as well.
+    Math.random = random;
     const fleet = FeedFleet.create({...options, random});
     await advance(SETTLE_MS);
     const endAtMs = performance.now() + LENGTH_MS;
@@ -124,6 +135,62 @@
     return {late, regressions};
   }
 
+  // A fleet whose members wait as long as their leader holds them must be caught.
+  it('are found late without limits on the age', async () => {
+    const options = FLEETS['9 zones, within 3 s'];
+    const {waitMs} = FeedTiming.create(options);
+    const limitMs = 2 * waitMs;
+    const limits = {
+      waitMs,
+      highestLimitMs: limitMs,
+      drawLimitMs: () => limitMs,
+    };
+    const disturb = DISTURBANCES['while readers have a link that is silent']!;
+    const counts: number[] = [];
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + 3; seed += 1) {
+      const {late} = await play({...options, limits}, seed, disturb);
+      counts.push(late.length);
+    }
+    expect(Math.max(...counts)).toBeGreaterThan(0);
+  });
+
+  // Guards against a fleet that calls the table all at once when the instance that
+  // reads for a region has lost it.
+  it('are read from the table by one zone and the leaders, not at once', async () => {
+    const {zonesByRegion, promiseMs} = FLEETS['9 zones, within 3 s'];
+    const random = createRandom(FIRST_SEED);
+    const fleet = FeedFleet.create({
+      zonesByRegion,
+      instancesPerZone: 15,
+      promiseMs,
+      random,
+    });
+    await advance(SETTLE_MS);
+    const leaders = leadersOf(fleet);
+    const reader = leaders.find(({election}) => !election.feedSource)!;
+    const lostAtMs = performance.now();
+    fleet.loseTable(reader, 'silent', MAX_FAULT_MS);
+    await advance(promiseMs);
+    const calls = fleet.table.calls.filter(({atMs}) => atMs >= lostAtMs);
+    const callers = new Set(calls.map(({caller}) => caller));
+    const members = fleet.instances.filter(
+      ({availabilityZone}) => availabilityZone === reader.availabilityZone,
+    );
+    const expected = new Set(
+      [...members, ...leaders].map(({instanceId}) => instanceId),
+    );
+    expect([...callers].filter(caller => !expected.has(caller))).toEqual([]);
+    // One read at the limit, and two waits for changes.
+    expect(calls.length).toBeLessThanOrEqual(3 * expected.size);
+    const firstAtMs = members
+      .filter(member => member !== reader)
+      .map(({instanceId}) => calls.find(call => call.caller === instanceId))
+      .map(call => call?.atMs ?? NaN);
+    const spreadMs = Math.max(...firstAtMs) - Math.min(...firstAtMs);
+    expect(spreadMs).toBeGreaterThanOrEqual(75);
+    await fleet.stop();
+  });
+
   for (const [fleetName, options] of Object.entries(FLEETS)) {
     for (const [name, disturb] of Object.entries(DISTURBANCES)) {
       it(`are in time ${name}, ${fleetName}`, async () => {
--- a/packages/zone/src/test/feed-relay_test.ts
+++ b/packages/zone/src/test/feed-relay_test.ts
@@ -2,8 +2,9 @@
  * Guards against changes that a leader withholds or reports as fresher than
  * they are.
  */
-import type {ChangeFeed, FeedPage} from '@fireflytrack/discovery';
-import {Ok} from '@fireflytrack/result';
+import type {ChangeFeed, FeedError, FeedPage} from '@fireflytrack/discovery';
+import {Err, Ok} from '@fireflytrack/result';
+import type {Result} from '@fireflytrack/result';
 import {MemoryNetwork} from '@fireflytrack/wire';
 import FakeTimers from '@sinonjs/fake-timers';
 import type {Clock} from '@sinonjs/fake-timers';
@@ -16,6 +17,8 @@
 
 const MAX_AGE_MS = 1400;
 const WAIT_MS = 600;
+const RESPONSE_MARGIN_MS = 50;
+const LIMIT_MS = WAIT_MS + RESPONSE_MARGIN_MS;
 const START_WAIT_MS = 500;
 
 const at = (revision: number, era = 1) => ({era, revision});
@@ -34,17 +37,20 @@
   let relay: FeedRelay<string>;
   let feed: RelayedFeed<string>;
   let ageMs: number;
+  let memberAgeMs: number;
   let leaderIsActive: boolean;
   let directReads: number;
+  let directWaitsMs: number[];
+  let tableFails: boolean;
+  let network: MemoryNetwork;
   let isConnected: boolean;
   let memberElection: Record<string, unknown>;
-  let leaderElection: {isLeader: boolean; feedSource: unknown};
 
   beforeEach(() => {
     clock = FakeTimers.install({
       toFake: ['setTimeout', 'clearTimeout', 'performance'],
     });
-    const network = MemoryNetwork.create();
+    network = MemoryNetwork.create();
     const identity = (instanceId: string) => ({
       instanceId,
       availabilityZone: 'z',
@@ -53,6 +59,7 @@
     const leader = network.join(identity('leader'));
     const member = network.join(identity('member'));
     [ageMs, leaderIsActive, directReads] = [100, true, 0];
+    memberAgeMs = 0;
     isConnected = true;
     memberElection = {
       isLeader: false,
@@ -60,25 +67,26 @@
       feedSource: {instanceId: 'leader'},
       connect: async () => isConnected,
     };
-    leaderElection = {
-      get isLeader() {
-        return leaderIsActive;
-      },
-      feedSource: undefined,
-    };
     relay = FeedRelay.create<string>(
       {name: 'f', maxAgeMs: MAX_AGE_MS},
       () => ageMs,
     );
-    relay.serve(leader, leaderElection as ZoneElection);
-    const direct: ChangeFeed<string> = {
-      readAll: async () => {
-        directReads += 1;
-        return Ok(page(50, {direct: 'yes'}));
+    relay.serve(leader, {
+      get isLeader() {
+        return leaderIsActive;
       },
-      changesAfter: async () => {
-        directReads += 1;
-        return Ok(page(50, {direct: 'yes'}));
+    });
+    [directWaitsMs, tableFails] = [[], false];
+    const readDirectly = (): Result<FeedPage<string>, FeedError> => {
+      directReads += 1;
+      if (tableFails) return Err({kind: 'unavailable', message: 'cut'});
+      return Ok(page(50, {direct: 'yes'}));
+    };
+    const direct: ChangeFeed<string> = {
+      readAll: async () => readDirectly(),
+      changesAfter: async (_position, waitMs) => {
+        directWaitsMs.push(waitMs);
+        return readDirectly();
       },
       close: async () => {},
     };
@@ -86,7 +94,8 @@
       name: 'f',
       direct,
       itemSchema: z.string(),
-      relayWaitMs: WAIT_MS,
+      timing: {waitMs: WAIT_MS, drawLimitMs: () => LIMIT_MS},
+      ageMs: () => memberAgeMs,
       startWaitMs: START_WAIT_MS,
     });
     feed.useRelay({
@@ -153,16 +162,62 @@
     expect(directReads).toEqual(0);
   });
 
-  it('allows a leader that reads from another one a little more', async () => {
-    ageMs = MAX_AGE_MS + 100;
-    leaderElection.feedSource = {instanceId: 'other'};
-    const all = (await settle(feed.readAll(0))).unwrap();
-    expect(all.rows.length).toEqual(2);
-    ageMs = MAX_AGE_MS + 201;
-    await settle(feed.changesAfter(at(10), 1000));
+  // Guards against a leader that holds a request although it has lost the table.
+  it('reads the table at its own limit, whatever the leader does', async () => {
+    memberAgeMs = 400;
+    const waiting = feed.changesAfter(at(10), 5000);
+    await clock.tickAsync(LIMIT_MS - memberAgeMs - RESPONSE_MARGIN_MS - 1);
+    expect(directReads).toEqual(0);
+    const unchanged = (await settle(waiting)).unwrap();
+    expect(unchanged.rows).toEqual([]);
+    memberAgeMs = LIMIT_MS - RESPONSE_MARGIN_MS;
+    await settle(feed.changesAfter(at(10), 5000));
+    expect(directReads).toEqual(1);
+    expect(directWaitsMs).toEqual([0]);
+  });
+
+  // Guards against a change that a silent leader keeps back.
+  it('reads the table at its limit while the leader is silent', async () => {
+    network.suspend('leader');
+    memberAgeMs = 100;
+    void feed.changesAfter(at(10), 5000);
+    await clock.tickAsync(LIMIT_MS - memberAgeMs - 1);
+    expect(directReads).toEqual(0);
+    await clock.tickAsync(5);
+    expect(directReads).toEqual(1);
+  });
+
+  it('lets the table wait no longer than until the age of its calls', async () => {
+    isConnected = false;
+    memberAgeMs = 250;
+    await settle(feed.changesAfter(at(10), 5000));
+    expect(directWaitsMs).toEqual([WAIT_MS - memberAgeMs]);
+  });
+
+  // Guards against an instance that has lost the table and no longer asks a
+  // leader that has not.
+  it('asks the leader beyond its limit when the table does not respond', async () => {
+    tableFails = true;
+    memberAgeMs = LIMIT_MS + 100;
+    const failed = await settle(feed.changesAfter(at(10), 5000));
+    expect(failed.ok).toEqual(false);
+    const relayed = (await settle(feed.changesAfter(at(10), 5000))).unwrap();
+    expect(relayed.origin?.leader).toEqual('leader');
+    expect(Math.abs(relayed.confirmedOffsetMs + ageMs) <= 1).toEqual(true);
     expect(directReads).toEqual(1);
   });
 
+  it('does not take a page without news for the end of an outage', async () => {
+    tableFails = true;
+    memberAgeMs = LIMIT_MS + 100;
+    ageMs = memberAgeMs + 1;
+    for (let call = 0; call < 4; call += 1) {
+      const failed = await settle(feed.changesAfter(at(10), 5000));
+      expect(failed.ok).toEqual(false);
+    }
+    expect(directReads).toEqual(4);
+  });
+
   it('reads the table while the leader is not reached', async () => {
     isConnected = false;
     await settle(feed.changesAfter(at(10), 1000));
--- a/packages/zone/src/test/odd-relay_test.ts
+++ b/packages/zone/src/test/odd-relay_test.ts
@@ -54,7 +54,8 @@
       name: 'f',
       direct: directFeed,
       itemSchema: z.string().max(10),
-      relayWaitMs: 10,
+      timing: {waitMs: 10, drawLimitMs: () => 100},
+      ageMs: () => 0,
       logger,
     });
     feed.useRelay({network: member, election});
--- a/packages/zone/src/testing/feed-fleet.ts
+++ b/packages/zone/src/testing/feed-fleet.ts
@@ -8,6 +8,8 @@
 import {createLogger} from '@fireflytrack/telemetry';
 import {sleep} from '@fireflytrack/time';
 import {z} from 'zod';
+import {FeedTiming} from '../lib/feed-timing.js';
+import type {FeedLimits} from '../lib/feed-timing.js';
 import type {Leader} from '../lib/leader-row.js';
 import {SharedFeed} from '../lib/shared-feed.js';
 import {ZoneElection} from '../lib/zone-election.js';
@@ -20,6 +22,8 @@
   instancesPerZone: number;
   /** Time within which a change must be known everywhere. */
   promiseMs: number;
+  /** Derived from the promise if absent. */
+  limits?: FeedLimits;
   random(): number;
 }
 
@@ -47,8 +51,6 @@
 }
 
 const PAUSE_MS = 50;
-const MAX_WAIT_MS = 2000;
-const WAIT_RESERVE_MS = 1000;
 const START_SPREAD_MS = 150;
 
 export class FeedFleet {
@@ -171,7 +173,7 @@
       instances: 1,
     };
     const logger = createLogger({level: 'error', silent: true});
-    const link = this.table.createLink();
+    const link = this.table.createLink(instanceId);
     const election = ZoneElection.create({
       self,
       table: this.createFleetTable(link),
@@ -179,13 +181,13 @@
       logger,
       onBecomeLeader: () => {},
     });
-    const {promiseMs, random} = this.options;
+    const {promiseMs, limits, random} = this.options;
     const feed = SharedFeed.create<string>({
       name: 'rows',
       logName: 'rows',
       direct: link,
       itemSchema: z.string(),
-      waitMs: Math.min(promiseMs - WAIT_RESERVE_MS, MAX_WAIT_MS),
+      timing: limits ?? FeedTiming.create({promiseMs}),
       pauseMs: PAUSE_MS,
       listener: {
         onPage: (page, _complete, sentAt) => {
--- a/packages/zone/src/testing/feed-table.ts
+++ b/packages/zone/src/testing/feed-table.ts
@@ -15,6 +15,12 @@
 export const LINK_FAULTS = ['silent', 'refused', 'reset', 'slow'] as const;
 export type LinkFault = (typeof LINK_FAULTS)[number];
 
+export interface TableCall {
+  /** Instance that made it. */
+  caller: string;
+  atMs: number;
+}
+
 export interface TableChange {
   revision: number;
   acknowledgedAtMs: number;
@@ -29,8 +35,7 @@
 
 export class FeedTable {
   readonly changes: TableChange[] = [];
-  /** When each call was made. */
-  readonly callsAtMs: number[] = [];
+  readonly calls: TableCall[] = [];
   private readonly rows = new Map<string, {item: string; revision: number}>();
   private revision = 1;
   private historySince = 0;
@@ -55,8 +60,8 @@
     this.historySince = this.revision;
   }
 
-  createLink(): TableLink {
-    return TableLink.create(this);
+  createLink(caller: string): TableLink {
+    return TableLink.create(this, caller);
   }
 
   /** Returns undefined if the history was dropped. */
@@ -91,10 +96,13 @@
   /** Fail the calls under way. */
   private readonly pending = new Set<(error: FeedError) => void>();
 
-  private constructor(private readonly table: FeedTable) {}
+  private constructor(
+    private readonly table: FeedTable,
+    private readonly caller: string,
+  ) {}
 
-  static create(table: FeedTable): TableLink {
-    return new TableLink(table);
+  static create(table: FeedTable, caller: string): TableLink {
+    return new TableLink(table, caller);
   }
 
   get fault(): LinkFault | undefined {
@@ -129,7 +137,8 @@
     after: number,
     waitMs: number,
   ): Promise<Result<FeedPage<string>, FeedError>> {
-    this.table.callsAtMs.push(performance.now());
+    const {caller} = this;
+    this.table.calls.push({caller, atMs: performance.now()});
     if (this.fault === 'refused' || this.fault === 'reset') {
       await delay(RESPONSE_MS);
       return Err(unavailable(this.fault ?? 'healed'));
