Count the return of lapsed entries from the first contact with the store

Cause: entries that are missing after an outage have 2.5 s to return, counted from when the server feed reached the store.

Change: the time counts from when any feed reached the store, and a feed that reaches it ends the pauses of the other. A leader that is asked in turn with a store that does not respond now has 150 ms in place of 300, which shortens the way back.

--- a/packages/discovery/src/lib/server-catalog.ts
+++ b/packages/discovery/src/lib/server-catalog.ts
@@ -53,6 +53,8 @@
   /** Ids of servers whose removal is deferred to the end of the grace period. */
   private readonly deferredRemovals = new Set<string>();
   private outage = false;
+  /** When the store was reached again in the outage, by any feed. */
+  private reachedAtMs: number | undefined;
   private lastPageAtMs = 0;
   private graceTimer: NodeJS.Timeout | undefined;
   private inGrace = false;
@@ -106,15 +108,25 @@
 
   onStoreUnavailable(): void {
     this.outage = true;
+    this.reachedAtMs = undefined;
     clearTimeout(this.graceTimer);
   }
 
+  /**
+   * Another feed has reached the store. Expired entries return from then on, also
+   * if the server feed needs longer.
+   */
+  onStoreReached(): void {
+    if (this.outage) this.reachedAtMs ??= performance.now();
+  }
+
   onStoreRecovered(): void {
     if (!this.outage) return;
     this.outage = false;
-    const outageMs = performance.now() - this.lastPageAtMs;
+    const nowMs = performance.now();
+    const outageMs = nowMs - this.lastPageAtMs;
     if (outageMs < MIN_OUTAGE_MS) this.endGrace();
-    else this.startGrace();
+    else this.startGrace(nowMs - (this.reachedAtMs ?? nowMs));
   }
 
   /** The store returned from an older copy; its rows are read next. */
@@ -131,13 +143,12 @@
     clearTimeout(this.doubtTimer);
   }
 
-  private startGrace(): void {
+  /** Starts a grace period of which `passedMs` have passed. */
+  private startGrace(passedMs = 0): void {
     clearTimeout(this.graceTimer);
     this.inGrace = true;
-    this.graceTimer = setTimeout(
-      () => this.endGrace(),
-      this.options.lapseGraceMs,
-    );
+    const leftMs = Math.max(0, this.options.lapseGraceMs - passedMs);
+    this.graceTimer = setTimeout(() => this.endGrace(), leftMs);
   }
 
   private endDoubt(): void {
--- a/packages/discovery/src/test/server-catalog_test.ts
+++ b/packages/discovery/src/test/server-catalog_test.ts
@@ -89,6 +89,37 @@
     expect(serverCount()).toEqual(0);
   });
 
+  // Guards against requests to servers that have left, from an instance that was
+  // cut off and whose server feed needs longer than others to reach the store.
+  it('counts the time for a return from when any feed reached the store', () => {
+    catalog.onStoreReached();
+    catalog.onStoreUnavailable();
+    clock.tick(OUTAGE_MS);
+    catalog.onStoreReached();
+    clock.tick(LAPSE_GRACE_MS - 100);
+    catalog.onStoreReached();
+    catalog.onStoreRecovered();
+    applyPage([], true);
+    clock.tick(99);
+    expect(serverCount()).toEqual(1);
+    clock.tick(1);
+    expect(serverCount()).toEqual(0);
+  });
+
+  it('counts it anew after another outage', () => {
+    catalog.onStoreUnavailable();
+    clock.tick(OUTAGE_MS);
+    catalog.onStoreReached();
+    clock.tick(LAPSE_GRACE_MS);
+    catalog.onStoreRecovered();
+    catalog.onStoreUnavailable();
+    clock.tick(OUTAGE_MS);
+    catalog.onStoreRecovered();
+    applyPage([], true);
+    clock.tick(LAPSE_GRACE_MS - 1);
+    expect(serverCount()).toEqual(1);
+  });
+
   it('keeps an entry that returned within the grace period', () => {
     catalog.onStoreUnavailable();
     clock.tick(OUTAGE_MS);
--- a/packages/gateway/src/lib/gateway-process.ts
+++ b/packages/gateway/src/lib/gateway-process.ts
@@ -96,6 +96,10 @@
       feed: sources.policyFeed,
       reader: sources.policyReader,
       timing: timings.policy,
+      onStoreReached: () => {
+        this.catalog.onStoreReached();
+        this.serverFeed.retryNow();
+      },
       startWaitMs,
       observe,
       logger,
@@ -155,7 +159,10 @@
           this.serverFeed.lease.confirm(sentAt, page.confirmedOffsetMs);
         },
         onUnavailable: () => this.catalog.onStoreUnavailable(),
-        onRecovered: () => this.catalog.onStoreRecovered(),
+        onRecovered: () => {
+          this.catalog.onStoreRecovered();
+          this.policies.feed.retryNow();
+        },
         onRestored: () => this.catalog.onStoreRestored(),
       },
       observe,
--- a/packages/gateway/src/lib/policy-holder.ts
+++ b/packages/gateway/src/lib/policy-holder.ts
@@ -30,6 +30,8 @@
   startWaitMs?: number;
   /** Called with each page of the feed. */
   observe?(observation: FeedObservation): void;
+  /** Called when the feed has reached the store again. */
+  onStoreReached?(): void;
   logger: Logger;
 }
 
@@ -74,6 +76,7 @@
       observe: options.observe,
       listener: {
         onPage: (page, _complete, sentAt) => this.applyPage(page, sentAt),
+        onRecovered: () => options.onStoreReached?.(),
       },
       logger,
     });
--- a/packages/zone/src/lib/relayed-feed.ts
+++ b/packages/zone/src/lib/relayed-feed.ts
@@ -68,7 +68,7 @@
 // A request that could be held for less is not sent to a leader.
 const MIN_HOLD_MS = 20;
 // Longest request to a leader after the table was read in vain.
-const RETRY_TIMEOUT_MS = 300;
+const RETRY_TIMEOUT_MS = 150;
 // After a failed request to the leader, the table is read for this long.
 const DIRECT_READ_PERIOD_MS = 2000;
 // Longest key of a table; only a faulty leader sends a longer one.
--- a/packages/zone/src/lib/shared-feed.ts
+++ b/packages/zone/src/lib/shared-feed.ts
@@ -115,6 +115,11 @@
     return this.follower.stop();
   }
 
+  /** Ends a pause, because the table has been reached by other means. */
+  retryNow(): void {
+    this.follower.skipPause();
+  }
+
   /** From now on, reads from leaders and serves others. */
   join(access: RelayAccess): void {
     this.relay.serve(access.network, access.election);
