--- a/packages/zone/src/lib/zone-election.ts
+++ b/packages/zone/src/lib/zone-election.ts
@@ -66,8 +66,8 @@
 // instances may act as leader.
 const LEADER_ROW_POLL_MS = 2000;
 // The same for a leader that reads for others, and for those. Together with the
-// age of relayed rows and the wait for them, it is below the 2.5 s for which
-// grants reckon with a former leader.
+// age of relayed rows and the time-outs of the next reads, it is below the window
+// in which a new owner of limited servers reckons with the one before it (4 s).
 const RELAYED_ROW_POLL_MS = 900;
 const MAX_RELAYED_ROW_AGE_MS = 1050;
 // The secret is read from the table only.
