Draw more seeds for the naive variant of feed-promise_test

With FIREFLYTRACK_SEED= none of the first three seeds made the variant without limits late, and the case failed. It now plays up to twelve seeds until one does; it has to be caught as before. A comment of the soak's faults stands at what it explains.

--- a/packages/zone/src/test/feed-promise_test.ts
+++ b/packages/zone/src/test/feed-promise_test.ts
@@ -18,6 +18,8 @@
 
 const FIRST_SEED = Number(process.env['FIREFLYTRACK_SEED'] ?? 20261204);
 const SEEDS = Number(process.env['FIREFLYTRACK_RUNS'] ?? 4);
+// A fleet without limits is late in some of these.
+const NAIVE_SEEDS = 12;
 const STEP_MS = 5;
 const SETTLE_MS = 6000;
 const LENGTH_MS = 32_000;
@@ -146,12 +148,12 @@
       drawLimitMs: () => limitMs,
     };
     const disturb = DISTURBANCES['while readers have a link that is silent']!;
-    const counts: number[] = [];
-    for (let seed = FIRST_SEED; seed < FIRST_SEED + 3; seed += 1) {
-      const {late} = await play({...options, limits}, seed, disturb);
-      counts.push(late.length);
+    let late: LateChange[] = [];
+    for (let index = 0; late.length === 0 && index < NAIVE_SEEDS; index += 1) {
+      const seed = FIRST_SEED + index;
+      ({late} = await play({...options, limits}, seed, disturb));
     }
-    expect(Math.max(...counts)).toBeGreaterThan(0);
+    expect(late.length).toBeGreaterThan(0);
   });
 
   // Guards against a fleet that calls the table all at once when the instance that
