--- a/review/harness/harness.mjs
+++ b/review/harness/harness.mjs
@@ -40,6 +40,14 @@
   rows = new Map();
   version = 100;
   waiters = new Set();
+  feedAnswered = [];
+  /** Resolves when the store answers the next feed call for `table`. */
+  async nextFeedAnswer(table) {
+    for (;;) {
+      const answered = await new Promise(done => this.feedAnswered.push(done));
+      if (answered === table) return;
+    }
+  }
   /** Answers a call otherwise; returns true if it did. */
   intercept = undefined;
   /** Called with each transaction that was applied. */
@@ -130,7 +138,9 @@
           this.waiters.add(check);
         });
       }
-      return send(200, {rows: this.changes(table, after), ver: this.version});
+      send(200, {rows: this.changes(table, after), ver: this.version});
+      for (const notify of this.feedAnswered.splice(0)) notify(table);
+      return undefined;
     }
     return send(404, {});
   }
